The module takes new settings by an event, and judges a request by those it began with

Need: a configuration can't change under load while the module holds one set of settings for its whole life: a request under way would be judged by a mixture, and a class index read by the wrong list would resend what must not run twice. Change: the event SettingsChanged; RequestArrived may carry the settings that its reading began with, and each request keeps them for its class, attempts, permissions and fees. The sidecar's place in the fleet, the feeding of cold servers and what may be told follow the settings in force. What was learnt about servers stays.

--- a/include/kelplb/balancer.hpp
+++ b/include/kelplb/balancer.hpp
@@ -61,6 +61,8 @@
     Fees fees;
 };
 
+using SettingsPtr = std::shared_ptr<const Settings>;
+
 // ---- Events ---------------------------------------------------------------------------------------------
 
 enum class Phase { on, fading, off };
@@ -96,10 +98,11 @@
 };
 struct RequestArrived {
     RequestId id = 0;               // never used twice
-    std::uint32_t class_index = 0;  // into Settings::classes; out of range: handled with most care
+    std::uint32_t class_index = 0;  // into the settings' classes; out of range: handled with most care
     Millis time_left = 0;           // until the client abandons this try
     Millis effort = 0;              // expected work, 0 if not known
     bool repeat = false;            // known to be the client's retry
+    SettingsPtr settings{};         // it is judged by these to its end; none: by those in force
 };
 struct FirstByte {  // a streamed answer has begun; the attempt belongs to the client from here on
     RequestId id = 0;
@@ -127,8 +130,13 @@
     std::uint32_t from = 0;
     std::vector<std::uint8_t> bytes{};
 };
+// From here on these are in force. Requests under way are judged to their end by those they began with; what
+// was learnt about servers stays. Settings that make no sense have no effect.
+struct SettingsChanged {
+    SettingsPtr settings{};
+};
 using Event = std::variant<Started, ServerList, RequestArrived, FirstByte, AttemptEnded, ClientGone,
-                           TimerFired, ProbeEnded, PeerMessage>;
+                           TimerFired, ProbeEnded, PeerMessage, SettingsChanged>;
 
 // ---- Actions --------------------------------------------------------------------------------------------
 // A caller must be able to carry out all of them; the present decisions use no FetchList.
@@ -190,6 +198,7 @@
     // Requests, servers and timers held at present: what this instance costs in memory.
     struct Held {
         std::size_t requests = 0, servers = 0, timers = 0;
+        std::size_t removed = 0;  // servers out of the pool, on trial ones included
     };
     Held held() const;
 
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -10,6 +10,7 @@
 #include <bit>
 #include <cmath>
 #include <map>
+#include <stdexcept>
 #include <unordered_map>
 
 #include "kelplb/balancer.hpp"
@@ -86,7 +87,9 @@
 
 struct Request {
     RequestId id = 0;
+    SettingsPtr settings;
     RequestClass kind;
+    double top_worth = 1;  // of the class worth most
     // The client's. Not the aim: giving up there makes clients repeat what a server is still working on,
     // while a late answer, worth as little, keeps them quiet.
     Millis deadline = 0;
@@ -115,13 +118,14 @@
 }  // namespace
 
 struct Balancer::Impl {
-    Impl(Settings s, std::uint64_t seed) : settings(std::move(s)), random(seed) {
-        validate(settings);
-        for (const RequestClass& c : settings.classes) top_worth = std::max(top_worth, c.worth);
-        if (top_worth == 0) top_worth = 1;
+    Impl(Settings s, std::uint64_t seed)
+        : settings(std::make_shared<const Settings>(std::move(s))), random(seed) {
+        validate(*settings);
     }
 
-    Settings settings;
+    // In force now: our place in the fleet, how servers warm up, what may be told. What concerns a single
+    // request (classes, fees, attempts, permissions) is asked of its own.
+    SettingsPtr settings;
     Random random;
     Millis now = 0;
     std::vector<Action>* actions = nullptr;
@@ -137,10 +141,9 @@
     double timely = 1;       // share of attempts answered within their aim, of late
     double served = 1;       // share of attempts that completed, of late
     Millis crowded_at = 0;
-    double crowding = 0;  // answers' time against their aim, of late
-    double pulse = 0;     // the same of our last answers, not told yet,
-    int pulses = 0;       // and how many they are
-    double top_worth = 0;
+    double crowding = 0;          // answers' time against their aim, of late
+    double pulse = 0;             // the same of our last answers, not told yet,
+    int pulses = 0;               // and how many they are
     bool told = false;            // a list other than the saved one
     double used = 0;              // the most attempts out of late: a lull must not close the room
     double room = kRoomAtStart;   // attempts that may be outstanding
@@ -165,9 +168,9 @@
 
     bool may_send(const Request& r, Server& s) {
         if (r.ended || r.streaming || now >= r.deadline) return false;  // rule 1
-        if (r.attempts.size() >= settings.max_attempts) return false;
+        if (r.attempts.size() >= r.settings->max_attempts) return false;
         if (!s.listed || s.info.phase != Phase::on) return false;  // rule 3
-        if (r.any_out() && (!settings.parallel_tries || r.kind.effect == Effect::once)) return false;
+        if (r.any_out() && (!r.settings->parallel_tries || r.kind.effect == Effect::once)) return false;
         if (r.kind.effect == Effect::once && r.first_possible_run()) return false;  // rule 2
         if (r.kind.effect == Effect::by_key)
             if (const Attempt* first = r.first_possible_run()) {
@@ -191,18 +194,18 @@
     // over any number of sidecars, where a floor or a bucket in each would be a flood from a thousand. The
     // lot shrinks by our share of attempts that complete: a storm of retries is many times what servers do.
     bool is_cold(const Server& s) const {
-        return settings.warm_within > 0 && s.info.online_since > 0 &&
-               now < s.info.online_since + settings.warm_within;
+        return settings->warm_within > 0 && s.info.online_since > 0 &&
+               now < s.info.online_since + settings->warm_within;
     }
     double warmth(const Server& s) const {
         if (!is_cold(s)) return 1;
-        const double age = std::max(0.0, now - s.info.online_since) / settings.warm_within;
-        return settings.cold_from + (1 - settings.cold_from) * std::min(1.0, age);
+        const double age = std::max(0.0, now - s.info.online_since) / settings->warm_within;
+        return settings->cold_from + (1 - settings->cold_from) * std::min(1.0, age);
     }
     double cold_share(const Server& s) const {
         // While its answers come in time, more than it is sure to bear: most warm up sooner.
         const bool eager = s.pace > 0 && s.pace <= kAimShare;
-        const double feed = eager ? std::max(1.0, kFeed * settings.fall_multiple) : 1;
+        const double feed = eager ? std::max(1.0, kFeed * settings->fall_multiple) : 1;
         return feed * warmth(s) * served;
     }
 
@@ -217,7 +220,20 @@
     // ---- Membership -------------------------------------------------------------------------------------
 
     void on(const Started&) {
-        if (settings.list_on_request) act(Subscribe{true});
+        if (settings->list_on_request) act(Subscribe{true});
+    }
+
+    void on(const SettingsChanged& e) {
+        if (!e.settings) return;
+        try {
+            validate(*e.settings);
+        } catch (const std::invalid_argument& error) {
+            return act(Log{error.what(), {}});
+        }
+        const bool subscribe = e.settings->list_on_request && !settings->list_on_request;
+        settings = e.settings;
+        if (subscribe) act(Subscribe{true});
+        release_held();  // our part of the room may have grown
     }
 
     void on(const ServerList& list) {
@@ -342,7 +358,8 @@
         for (auto& [id, s] : servers)
             if (s.listed && s.info.phase == Phase::on) all.push_back(&s), units += s.info.units;
         double left = all.empty() ? 0 : subset_size() * units / static_cast<double>(all.size());
-        const std::size_t start = all.size() * (settings.my_number % settings.siblings) / settings.siblings;
+        const std::size_t start =
+            all.size() * (settings->my_number % settings->siblings) / settings->siblings;
         for (std::size_t i = 0; i < all.size() && left > 0; ++i) {
             Server* s = used.emplace_back(all[(start + i) % all.size()]);
             if (s->standing == Standing::live)
@@ -366,17 +383,18 @@
         // ties, and with one request more where our part of the fee exceeds the chance of a late answer: one
         // more from each of many sidecars is a queue.
         bool near_first = false;
-        if (settings.fees.cross_zone > 0 && settings.my_zone && crowding <= kCrowded) {
+        const Settings& own = *r.settings;
+        if (own.fees.cross_zone > 0 && own.my_zone && crowding <= kCrowded) {
             std::vector<Server*> near;
             for (Server* s : live)
-                if (s->info.zone == *settings.my_zone) near.push_back(s);
+                if (s->info.zone == *own.my_zone) near.push_back(s);
             if (!near.empty()) first = draw(near, nullptr), near_first = true;
         }
         if (live.size() == 1) return first;
         Server* second = draw(live, first);
         const Server &a = *first, &b = *second;
-        const bool nearer = near_first && b.info.zone != *settings.my_zone;
-        const int grace = nearer && our_part() * settings.fees.cross_zone > std::exp(-1 / crowding) ? 1 : 0;
+        const bool nearer = near_first && b.info.zone != *own.my_zone;
+        const int grace = nearer && our_part() * own.fees.cross_zone > std::exp(-1 / crowding) ? 1 : 0;
         const double doubt = suspicion(a) - suspicion(b);
         if (a.outstanding == 0 && b.outstanding == 0 && std::abs(doubt) < 1 && should_ask(r)) {
             ++r.asks;
@@ -404,22 +422,22 @@
     }
     void tell(std::uint32_t peers, const std::vector<std::uint8_t>& bytes) {
         for (std::uint32_t i = 0; i < peers; ++i) {
-            const auto peer = static_cast<std::uint32_t>(random.below(settings.siblings));
-            if (peer != settings.my_number) act(TellPeer{peer, bytes});
+            const auto peer = static_cast<std::uint32_t>(random.below(settings->siblings));
+            if (peer != settings->my_number) act(TellPeer{peer, bytes});
         }
     }
     void tell_failure(ServerId id) {
-        if (!settings.may_tell || !is_thin()) return;
+        if (!settings->may_tell || !is_thin()) return;
         std::vector<std::uint8_t> bytes;
         for (int shift = 24; shift >= 0; shift -= 8) bytes.push_back(static_cast<std::uint8_t>(id >> shift));
-        tell(settings.siblings / kToldPart, bytes);
+        tell(settings->siblings / kToldPart, bytes);
     }
     // How crowded the pool is shows in the answers of all sidecars; the few of one are mostly chance, and a
     // room that follows chance refuses what there is room for. So each tells some peers the mean of its last
     // answers' time against their aim, in hundredths.
     void tell_pulse() {
-        if (settings.may_tell && is_thin())
-            tell(settings.siblings / kPulsePart, {static_cast<std::uint8_t>(pulse * 100)});
+        if (settings->may_tell && is_thin())
+            tell(settings->siblings / kPulsePart, {static_cast<std::uint8_t>(pulse * 100)});
         pulse = 0, pulses = 0;
     }
     void on(const PeerMessage& e) {
@@ -441,9 +459,9 @@
     // In a collapsed pool no probe is answered in time, and they would only cost.
     // Nor is a race worth its two fees where it saves less than them.
     bool should_ask(const Request& r) const {
-        const bool pays = 2 * settings.fees.probe < kRaceGain * (1 - timely);
+        const bool pays = 2 * r.settings->fees.probe < kRaceGain * (1 - timely);
         const bool doubtful = timely < kEasy && timely > kHopeless && pays;
-        return settings.may_probe && is_light() && doubtful && r.asks < kAskRounds;
+        return r.settings->may_probe && is_light() && doubtful && r.asks < kAskRounds;
     }
 
     void on(const ProbeEnded& e) {
@@ -512,12 +530,12 @@
     // Where slow service alone takes that long, refusing more does not help and idles the servers: one
     // attempt for each server is always allowed, and with many sidecars our part of kFloor.
     double room_floor() const { return our_part() * static_cast<double>(servers.size()); }
-    double our_part() const { return std::min(1.0, kFloor / std::max(1u, settings.siblings)); }
+    double our_part() const { return std::min(1.0, kFloor / std::max(1u, settings->siblings)); }
 
     // Worth: the class worth most may fill the room, the others leave it part of theirs.
     // Less than one place is given by lot: a light sidecar, with one request at a time, sheds by it.
     bool has_room(const Request& r) {
-        const double part = kCommonRoom + (1 - kCommonRoom) * r.kind.worth / top_worth * (r.repeat ? 0 : 1);
+        const double part = kCommonRoom + (1 - kCommonRoom) * r.kind.worth / r.top_worth * (r.repeat ? 0 : 1);
         return outstanding < room * part && (room * part >= 1 || random.unit() < room * part);
     }
 
@@ -541,12 +559,16 @@
         Request& r = it->second;
         r.id = e.id;
         r.repeat = e.repeat;
-        if (e.class_index < settings.classes.size()) {
-            r.kind = settings.classes[e.class_index];
+        r.settings = e.settings && !e.settings->classes.empty() ? e.settings : settings;
+        if (e.class_index < r.settings->classes.size()) {
+            r.kind = r.settings->classes[e.class_index];
         } else {  // unknown: what we know least about is handled with most care
             r.kind.effect = Effect::once;
             r.kind.aim = std::max(1.0, e.time_left);
         }
+        r.top_worth = 0;
+        for (const RequestClass& c : r.settings->classes) r.top_worth = std::max(r.top_worth, c.worth);
+        if (r.top_worth == 0) r.top_worth = 1;
         r.kind.aim += r.kind.aim_stretch * std::max(0.0, e.effort);
         r.deadline = now + std::max(0.0, e.time_left);
         if (arrived_at >= 0) gap > 0 ? smooth(gap, now - arrived_at) : void(gap = now - arrived_at);
@@ -564,7 +586,7 @@
         }
         // Nobody may have it now. If one may later, hold it: at hold_until the timer answers.
         if (r.any_out()) return;
-        if (now >= r.hold_until || r.attempts.size() >= settings.max_attempts ||
+        if (now >= r.hold_until || r.attempts.size() >= r.settings->max_attempts ||
             (r.first_possible_run() && r.kind.effect == Effect::once))
             return finish(r);
         held.push_back(r.id);
@@ -661,7 +683,7 @@
     }
 
     void cancel_all(const Request& r) {
-        for (std::uint32_t i = 0; settings.may_cancel && i < r.attempts.size(); ++i)
+        for (std::uint32_t i = 0; r.settings->may_cancel && i < r.attempts.size(); ++i)
             if (r.attempts[i].out) act(Cancel{r.id, i});
     }
 
@@ -710,7 +732,9 @@
 }
 
 Balancer::Held Balancer::held() const {
-    return {impl_->requests.size(), impl_->servers.size(), impl_->timers.size()};
+    std::size_t removed = 0;
+    for (const auto& [id, s] : impl_->servers) removed += s.listed && s.standing != Standing::live;
+    return {impl_->requests.size(), impl_->servers.size(), impl_->timers.size(), removed};
 }
 
 }  // namespace kelplb
--- a/tests/rig.hpp
+++ b/tests/rig.hpp
@@ -52,9 +52,11 @@
         int answers = 0;
         bool gone = false;
         bool refused = false;
+        SettingsPtr settings{};  // those it began with, by which every action for it is judged
     };
 
-    Settings settings;
+    Settings settings;    // in force
+    SettingsPtr current;  // the same
     Balancer balancer;
     Millis now = 100000;
     std::map<RequestId, Open> requests;
@@ -65,7 +67,14 @@
     std::vector<std::string> logs;
     std::vector<Millis> advice;  // of the refusals
 
-    explicit Rig(Settings s, std::uint64_t seed = 1) : settings(s), balancer(std::move(s), seed) {}
+    explicit Rig(Settings s, std::uint64_t seed = 1)
+        : settings(s), current(std::make_shared<const Settings>(s)), balancer(std::move(s), seed) {}
+
+    void change(const Settings& s) {
+        settings = s;
+        current = std::make_shared<const Settings>(s);
+        give(SettingsChanged{current});
+    }
 
     void give(const Event& event) {
         last.clear();
@@ -84,10 +93,18 @@
         const RequestId id = next_id++;
         RequestClass kind = make_class(Effect::once);
         if (class_index < settings.classes.size()) kind = settings.classes[class_index];
-        requests[id] = {kind, now + time_left, {}, 0, false, false};
+        requests[id] = {kind, now + time_left, {}, 0, false, false, current};
         give(RequestArrived{id, class_index, time_left, 0, repeat});
         return id;
     }
+    // One whose reading began before the settings changed.
+    RequestId request_by(const SettingsPtr& began_with, std::uint32_t class_index, Millis time_left = 1000) {
+        const RequestId id = next_id++;
+        requests[id] = {
+            began_with->classes.at(class_index), now + time_left, {}, 0, false, false, began_with};
+        give(RequestArrived{id, class_index, time_left, 0, false, began_with});
+        return id;
+    }
 
     std::vector<RequestId> burst(int count, Millis time_left = 1000, bool repeat = false) {
         std::vector<RequestId> ids;
@@ -194,13 +211,13 @@
     void on_send(const Send& send) {
         Open& r = requests.at(send.id);
         EXPECT_FALSE(closed(r)) << "rule 1: sent after the final answer";
-        EXPECT_LT(r.sent.size(), settings.max_attempts) << "too many attempts";
+        EXPECT_LT(r.sent.size(), r.settings->max_attempts) << "too many attempts";
         EXPECT_EQ(servers.at(send.server).phase, Phase::on) << "rule 3: sent to a draining or gone server";
         const ServerInfo& to = servers.at(send.server);
         const Sent* first = nullptr;
         for (const Sent& s : r.sent) {
             if (s.out) {
-                EXPECT_TRUE(settings.parallel_tries) << "two attempts out";
+                EXPECT_TRUE(r.settings->parallel_tries) << "two attempts out";
             }
             if (!s.may_have_run) continue;
             if (!first) first = &s;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -98,6 +98,81 @@
     }
 }
 
+// Classes in another order and number, other limits: who mixed them up would resend what must not run twice.
+Settings reshuffled(Dice& dice) {
+    Settings s = mixed(dice.below(2));
+    for (std::size_t i = s.classes.size(); i > 1; --i)
+        std::swap(s.classes[i - 1], s.classes[dice.below(static_cast<std::uint32_t>(i))]);
+    s.classes.resize(1 + dice.below(static_cast<std::uint32_t>(s.classes.size())));
+    s.max_attempts = 1 + dice.below(5);
+    s.may_cancel = dice.below(2);
+    s.may_probe = dice.below(2);
+    s.siblings = 1 + dice.below(100);
+    s.my_number = dice.below(100);
+    if (dice.below(2)) s.my_zone = dice.below(3);
+    s.fees.cross_zone = dice.below(2) * 0.1;
+    return s;
+}
+
+TEST(Rules, HoldForEachRequestByTheSettingsItBeganWith) {
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        SCOPED_TRACE(seed);
+        Rig rig(mixed(seed % 2), seed);
+        Dice dice(seed);
+        for (int round = 0; round < 60; ++round) {
+            random_life(rig, dice, 25);
+            const SettingsPtr before = rig.current;
+            rig.change(reshuffled(dice));
+            for (std::uint32_t i = 0; i < before->classes.size(); ++i) rig.request_by(before, i, 500);
+        }
+        rig.settle();
+        if (::testing::Test::HasFailure()) return;
+    }
+}
+
+TEST(Change, WhatWasLearntAboutServersStays) {
+    Rig rig(mixed(false), 4);
+    rig.list(ListKind::full, make_servers(4));
+    for (int i = 0; i < 200; ++i) {
+        const RequestId id = rig.request(0);
+        while (rig.out(id)) rig.end(id, rig.where(id) == 1 ? Outcome::errored : Outcome::completed, 5);
+    }
+    ASSERT_EQ(rig.balancer.held().removed, 1U);
+    Settings other = mixed(true);
+    std::reverse(other.classes.begin(), other.classes.end());
+    rig.change(other);
+    EXPECT_EQ(rig.balancer.held().removed, 1U);
+    for (int i = 0; i < 50; ++i) {
+        const RequestId id = rig.request(4);
+        EXPECT_NE(rig.where(id), 1U) << "it is still out of the pool";
+        rig.end(id, Outcome::completed, 5);
+    }
+}
+
+TEST(Change, SettingsThatMakeNoSenseHaveNoEffect) {
+    Rig rig(mixed(false), 4);
+    rig.list(ListKind::full, make_servers(4));
+    const SettingsPtr good = rig.current;
+    Settings bad = mixed(false);
+    bad.classes[0].aim = -1;
+    rig.give(SettingsChanged{std::make_shared<const Settings>(bad)});
+    rig.give(SettingsChanged{});
+    const RequestId id = rig.request(0);
+    rig.end(id, Outcome::errored, 5);
+    EXPECT_EQ(rig.sends(id), 2U) << "as before: repeatable, and so sent again";
+    EXPECT_EQ(rig.current, good);
+}
+
+TEST(Change, ListsAreAskedForOnceThatIsTheRule) {
+    Rig rig(mixed(false), 4);
+    Settings asked = mixed(false);
+    asked.list_on_request = true;
+    rig.change(asked);
+    EXPECT_EQ(rig.count<Subscribe>(), 1);
+    rig.change(asked);
+    EXPECT_EQ(rig.count<Subscribe>(), 0) << "it is subscribed already";
+}
+
 TEST(Rules, SameEventsGiveTheSameActions) {
     std::vector<std::string> traces;
     for (int run = 0; run < 2; ++run) {
@@ -110,6 +185,7 @@
             trace += rig.out(id) ? std::to_string(rig.where(id)) + "," : "-,";
             end_random(rig, dice);
             rig.now += 1;
+            if (i % 50 == 49) rig.change(reshuffled(dice));
         }
         traces.push_back(trace);
     }
