--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,19 +1,35 @@
 // cobaltshift: one real sidecar. Exit codes: 0 stopped as asked, 1 failed to start or run, 2 bad
-// configuration.
+// configuration. --check only says whether NODE_CONFIG names a good one, --fields lists what it may hold.
 #include <csignal>
 #include <iostream>
+#include <nlohmann/json.hpp>
+#include <string_view>
 
+#include "net/fields.hpp"
 #include "net/log.hpp"
 #include "net/node.hpp"
 
-int main() {
+int main(int argc, char** argv) {
     using namespace kelplb::net;
     std::signal(SIGPIPE, SIG_IGN);  // whoever reads the log may leave; the sidecar serves on
+    const std::string_view argument = argc > 1 ? argv[1] : "";
+    if (argument == "--fields") {
+        std::cout << fields_as_markdown();
+        return 0;
+    }
+    if (argc > 2 || (argc == 2 && argument != "--check")) {
+        std::cerr << "usage: cobaltshift [--check | --fields]\n";
+        return 2;
+    }
     try {
+        const nlohmann::json document = start_document();
+        Config config = read_config(document);
+        log_unknown_fields(document);
+        if (argument == "--check") return 0;
         asio::io_context io(1);
         // Before all else: a signal without its handler ends the process.
         asio::signal_set stop(io, SIGTERM, SIGINT), reload(io, SIGHUP);
-        Node node(io, load_config());
+        Node node(io, std::move(config));
         stop.async_wait([&](error_code ec, int) {
             if (!ec) node.stop([&] { io.stop(); });
         });
--- /dev/null
+++ b/src/net/admin.cpp
@@ -0,0 +1,411 @@
+#include "net/admin.hpp"
+
+#include <charconv>
+#include <cmath>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "net/fields.hpp"
+#include "net/log.hpp"
+
+namespace kelplb::net {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kMostSessions = 8;
+constexpr std::uint64_t kLongestBody = 1 << 20;
+constexpr std::chrono::seconds kCallTime{5}, kIdleTime{60};
+constexpr std::chrono::milliseconds kAcceptRetry{100};
+
+struct BadCall : std::runtime_error {
+    BadCall(http::status s, const std::string& what) : std::runtime_error(what), status(s) {}
+    http::status status;
+};
+
+HttpResponse answer(http::status status, const json& body) {
+    HttpResponse response(status, 11);
+    response.set(http::field::content_type, "application/json");
+    response.body() = body.dump(2, ' ', false, json::error_handler_t::replace) + "\n";
+    return response;
+}
+
+// What stands behind the question mark. Whatever the call does not know is an error: a mistyped dry_run must
+// not become a change.
+class Query {
+public:
+    Query(std::string_view text, std::initializer_list<std::string_view> known) {
+        while (!text.empty()) {
+            const auto part = text.substr(0, text.find('&'));
+            text.remove_prefix(std::min(text.size(), part.size() + 1));
+            const auto equals = part.find('=');
+            const std::string name(part.substr(0, equals));
+            if (std::find(known.begin(), known.end(), name) == known.end() ||
+                equals == std::string_view::npos)
+                throw BadCall(http::status::bad_request,
+                              "parameter " + name + " is not known or has no value");
+            if (!values_.emplace(name, part.substr(equals + 1)).second)
+                throw BadCall(http::status::bad_request, "parameter " + name + " comes twice");
+        }
+    }
+    bool has(const std::string& name) const { return values_.count(name) > 0; }
+    bool flag(const std::string& name) const {
+        if (!has(name)) return false;
+        const std::string& v = values_.at(name);
+        if (v == "1" || v == "true") return true;
+        if (v == "0" || v == "false") return false;
+        throw BadCall(http::status::bad_request, "parameter " + name + " is neither true nor false");
+    }
+    std::optional<std::uint64_t> whole(const std::string& name) const {
+        return number<std::uint64_t>(name, "is not a whole number");
+    }
+    std::optional<double> amount(const std::string& name) const {
+        const auto n = number<double>(name, "is not an amount");
+        if (n && (!std::isfinite(*n) || *n < 0 || *n > 1e9))
+            throw BadCall(http::status::bad_request, "parameter " + name + " is not an amount");
+        return n;
+    }
+
+private:
+    template <class T>
+    std::optional<T> number(const std::string& name, const char* fault) const {
+        if (!has(name)) return {};
+        const std::string& v = values_.at(name);
+        T n{};
+        const auto parsed = std::from_chars(v.data(), v.data() + v.size(), n);
+        if (v.empty() || parsed.ec != std::errc() || parsed.ptr != v.data() + v.size())
+            throw BadCall(http::status::bad_request, "parameter " + name + " " + fault);
+        return n;
+    }
+    std::map<std::string, std::string> values_;
+};
+
+json share(const Generations::Share& s) { return {{"served", s.served}, {"answers", s.all}}; }
+
+json trial_now(const Node& node) {
+    const auto& t = node.generations().trial();
+    if (!t) return nullptr;
+    return {{"bake_ms", t->rule.bake},
+            {"margin", t->rule.margin},
+            {"min_samples", t->rule.min_samples},
+            {"falls_back_to", t->fallback},
+            {"running_ms", node.clock().now() - t->since},
+            {"before", share(t->before)},
+            {"during", share(t->during)}};
+}
+
+json entry(const Generations::Entry& e) {
+    json j = {{"generation", e.number()},
+              {"content_of", e.content},
+              {"source", word(e.source)},
+              {"state", word(e.state)},
+              {"at_ms", std::floor(e.at)}};
+    if (!e.note.empty()) j["note"] = e.note;
+    return j;
+}
+
+HttpResponse told(const Node& node, const Change& change, json more = json::object()) {
+    more["result"] = word(change.result);
+    more["generation"] = change.generation;
+    if (!change.note.empty()) more["error"] = change.note;
+    for (const Complaint& c : change.complaints)
+        more["complaints"].push_back({{"field", c.field}, {"what", c.what}});
+    if (change.result == Change::Result::applied) more["trial"] = trial_now(node);
+    const auto status = change.result == Change::Result::refused    ? http::status::unprocessable_entity
+                        : change.result == Change::Result::conflict ? http::status::conflict
+                        : change.result == Change::Result::missing  ? http::status::not_found
+                                                                    : http::status::ok;
+    return answer(status, more);
+}
+
+HttpResponse post_config(Node& node, const HttpRequest& request, const Query& query) {
+    ChangeOptions options;
+    options.dry_run = query.flag("dry_run");
+    options.expected = query.whole("expected_generation");
+    if (const auto bake = query.amount("bake_ms")) options.trial.emplace().bake = *bake;
+    if ((query.has("margin") || query.has("min_samples")) && !options.trial)
+        throw BadCall(http::status::bad_request, "parameter bake_ms is missing");
+    if (const auto margin = query.amount("margin")) {
+        if (*margin > 1) throw BadCall(http::status::bad_request, "parameter margin is over 1");
+        options.trial->margin = *margin;
+    }
+    if (const auto samples = query.whole("min_samples")) {
+        if (*samples == 0) throw BadCall(http::status::bad_request, "parameter min_samples must be over 0");
+        options.trial->min_samples = *samples;
+    }
+    json candidate;
+    try {
+        candidate = parse_config(request.body(), "the body");
+    } catch (const ConfigError& error) {
+        throw BadCall(http::status::bad_request, error.what());
+    }
+    const json before = json::parse(node.sidecar().snapshot()->config.document);
+    const Change change = node.change(candidate, Generations::Source::operators, true, options);
+    json more = json::object();
+    if (change.result == Change::Result::sound) {
+        // What it would change: fields that it leaves out and that stay are no difference.
+        for (const char* field : {"name", "listen", "admin"})
+            if (!candidate.contains(field) && before.contains(field)) candidate[field] = before.at(field);
+        more["changes"] = json::array();
+        for (const auto& step : json::diff(before, generation_document(candidate)))
+            more["changes"].push_back(step.at("op").get<std::string>() + " " +
+                                      step.at("path").get<std::string>());
+    }
+    return told(node, change, more);
+}
+
+HttpResponse get_config(const Node& node, const Query& query) {
+    const auto wanted = query.whole("generation");
+    const Generations::Entry* e = wanted ? node.generations().find(*wanted) : &node.generations().current();
+    if (!e) throw BadCall(http::status::not_found, "that generation is not kept");
+    json j = entry(*e);
+    j["config"] = json::parse(e->snapshot->config.document);
+    return answer(http::status::ok, j);
+}
+
+HttpResponse get_history(const Node& node) {
+    json all = json::array();
+    for (const auto& e : node.generations().kept()) all.push_back(entry(e));
+    return answer(http::status::ok, {{"generations", all}, {"trial", trial_now(node)}});
+}
+
+HttpResponse get_status(const Node& node) {
+    const auto held = node.held();
+    const auto recent = node.generations().recent(node.clock().now());
+    const auto& counts = node.counts();
+    const Config& config = node.sidecar().snapshot()->config;
+    std::ostringstream discovery;
+    discovery << config.discovery;
+    return answer(
+        http::status::ok,
+        {{"name", config.name},
+         {"stopping", node.stopping()},
+         {"generation", entry(node.generations().current())},
+         {"trial", trial_now(node)},
+         {"last_minute", share(recent)},
+         {"list",
+          {{"held", node.sidecar().holds_list()},
+           {"seq", node.discovery().seq()},
+           {"servers", held.servers},
+           {"removed", held.removed},
+           {"discovery", discovery.str()}}},
+         {"unanswered", node.sidecar().unanswered()},
+         {"connections", {{"clients", node.listener().connections()}, {"servers", held.connections}}},
+         {"changes",
+          {{"applied", counts.applied},
+           {"refused", counts.refused},
+           {"unchanged", counts.unchanged},
+           {"rolled_back", counts.rolled_back},
+           {"taken_back", counts.taken_back},
+           {"last_pause_ms", counts.last_pause},
+           {"longest_pause_ms", counts.longest_pause}}}});
+}
+
+HttpResponse get_metrics(const Node& node) {
+    std::ostringstream out;
+    const auto family = [&](const char* name, const char* type, const char* help) {
+        out << "# HELP cobaltshift_" << name << ' ' << help << "\n# TYPE cobaltshift_" << name << ' ' << type
+            << '\n';
+    };
+    const auto line = [&](const char* name, auto value, const char* label = "") {
+        out << "cobaltshift_" << name << label << ' ' << value << '\n';
+    };
+    const auto gauge = [&](const char* name, auto value, const char* help) {
+        family(name, "gauge", help), line(name, value);
+    };
+    const auto counter = [&](const char* name, auto value, const char* help) {
+        family(name, "counter", help), line(name, value);
+    };
+    const auto& t = node.sidecar().totals();
+    const auto held = node.held();
+    const auto& c = node.counts();
+    counter("requests_total", t.arrived, "Requests taken.");
+    family("answers_total", "counter", "Final answers by kind; left: the client did not wait.");
+    line("answers_total", t.served, "{result=\"served\"}");
+    line("answers_total", t.refused, "{result=\"refused\"}");
+    line("answers_total", t.failed, "{result=\"failed\"}");
+    line("answers_total", t.passed_on, "{result=\"passed_on\"}");
+    line("answers_total", t.left, "{result=\"left\"}");
+    counter("attempts_total", t.attempts, "Attempts at servers.");
+    counter("probes_total", t.probes, "Probes of servers.");
+    counter("peer_messages_total", t.told, "Datagrams to other sidecars.");
+    gauge("unanswered", node.sidecar().unanswered(), "Requests without a final answer.");
+    family("connections", "gauge", "Open connections.");
+    line("connections", node.listener().connections(), "{side=\"clients\"}");
+    line("connections", held.connections, "{side=\"servers\"}");
+    gauge("servers", held.servers, "Servers known.");
+    gauge("servers_removed", held.removed, "Servers out of the pool after failures (outlier ejection).");
+    gauge("list_seq", node.discovery().seq(), "Number of the list of servers held.");
+    gauge("config_generation", node.generations().current().number(), "Generation in force.");
+    gauge("config_on_trial", node.generations().trial() ? 1 : 0, "Whether it is on trial.");
+    family("config_changes_total", "counter", "Changes of the configuration by how they ended.");
+    line("config_changes_total", c.applied, "{result=\"applied\"}");
+    line("config_changes_total", c.refused, "{result=\"refused\"}");
+    line("config_changes_total", c.unchanged, "{result=\"unchanged\"}");
+    line("config_changes_total", c.rolled_back, "{result=\"rolled_back\"}");
+    line("config_changes_total", c.taken_back, "{result=\"taken_back\"}");
+    gauge("config_commit_seconds_max", c.longest_pause / 1000, "Longest pause of the loop for a commit.");
+    gauge("config_change_seconds_max", c.longest_change / 1000, "The same with checking and preparing.");
+    HttpResponse response(http::status::ok, 11);
+    response.set(http::field::content_type, "text/plain; version=0.0.4");
+    response.body() = out.str();
+    return response;
+}
+
+// A page in a browser on this machine must not reach what only operators may.
+void check_origin(const HttpRequest& request) {
+    if (request.count(http::field::origin) > 0)
+        throw BadCall(http::status::forbidden, "calls from web pages are refused");
+    std::string host(request[http::field::host]);
+    const auto colon = host.rfind(':');
+    if (colon != std::string::npos && host.find(']', colon) == std::string::npos) host.resize(colon);
+    if (host.size() > 2 && host.front() == '[') host = host.substr(1, host.size() - 2);
+    error_code ec;
+    const auto address = asio::ip::make_address(host, ec);
+    if (host != "localhost" && (ec || !address.is_loopback()))
+        throw BadCall(http::status::forbidden, "Host is not this machine's loopback");
+}
+
+HttpResponse route(Node& node, const HttpRequest& request) {
+    check_origin(request);
+    const std::string target(request.target());
+    const auto mark = target.find('?');
+    const std::string path = target.substr(0, mark);
+    const std::string text = mark == std::string::npos ? "" : target.substr(mark + 1);
+    const bool get = request.method() == http::verb::get, post = request.method() == http::verb::post;
+    const auto only = [&](bool fits, const char* allow) {
+        if (!fits) throw BadCall(http::status::method_not_allowed, std::string("only ") + allow + " here");
+    };
+    if (path == "/v1/config") {
+        only(get || post, "GET and POST");
+        if (get) return get_config(node, Query(text, {"generation"}));
+        return post_config(
+            node, request,
+            Query(text, {"dry_run", "expected_generation", "bake_ms", "margin", "min_samples"}));
+    }
+    if (path == "/v1/config/history") return only(get, "GET"), Query(text, {}), get_history(node);
+    if (path == "/v1/config/rollback") {
+        only(post, "POST");
+        const Query query(text, {"to", "expected_generation"});
+        return told(node, node.roll_back(query.whole("to"), query.whole("expected_generation")));
+    }
+    if (path == "/v1/status") return only(get, "GET"), Query(text, {}), get_status(node);
+    if (path == "/metrics") return only(get, "GET"), Query(text, {}), get_metrics(node);
+    throw BadCall(http::status::not_found, "no such page");
+}
+
+}  // namespace
+
+HttpResponse Admin::handle(Node& node, const HttpRequest& request) {
+    try {
+        return route(node, request);
+    } catch (const BadCall& bad) {
+        return answer(bad.status, {{"error", bad.what()}});
+    } catch (const std::exception& error) {
+        return answer(http::status::internal_server_error, {{"error", error.what()}});
+    }
+}
+
+class Admin::Session : public std::enable_shared_from_this<Session> {
+public:
+    Session(Node& node, tcp::socket socket) : node_(node), stream_(std::move(socket)) {}
+    void read() {
+        parser_.emplace();
+        parser_->header_limit(kMaxHeader);
+        parser_->body_limit(kLongestBody);
+        // The whole call, however slowly it drips in.
+        stream_.expires_after(first_ ? std::chrono::seconds(kCallTime) : std::chrono::seconds(kIdleTime));
+        http::async_read_header(stream_, buffer_, *parser_,
+                                [this, self = shared_from_this()](error_code ec, std::size_t) {
+                                    if (ec) return failed(ec);
+                                    stream_.expires_after(kCallTime);
+                                    read_body();
+                                });
+    }
+    void end() {
+        error_code ignored;
+        stream_.socket().close(ignored);
+    }
+
+private:
+    void read_body() {
+        http::async_read(stream_, buffer_, *parser_,
+                         [this, self = shared_from_this()](error_code ec, std::size_t) {
+                             if (ec) return failed(ec);
+                             const HttpRequest request = parser_->release();
+                             write(handle(node_, request), request.keep_alive());
+                         });
+    }
+    void failed(error_code ec) {
+        if (ec == http::error::end_of_stream ||
+            ec.category() != error_code(http::error::bad_method).category())
+            return end();
+        const auto status = ec == http::error::body_limit     ? http::status::payload_too_large
+                            : ec == http::error::header_limit ? http::status::request_header_fields_too_large
+                                                              : http::status::bad_request;
+        write(answer(status, {{"error", ec.message()}}), false);
+    }
+    void write(HttpResponse response, bool keep) {
+        first_ = false;
+        response_ = std::move(response);
+        response_.version(11);
+        response_.keep_alive(keep);
+        response_.prepare_payload();
+        stream_.expires_after(kCallTime);
+        http::async_write(stream_, response_,
+                          [this, self = shared_from_this(), keep](error_code ec, std::size_t) {
+                              if (ec) return end();
+                              if (keep) return read();
+                              error_code ignored;
+                              stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+                              end();
+                          });
+    }
+
+    Node& node_;
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_{kMaxHeader + kLongestBody};
+    std::optional<http::request_parser<http::string_body>> parser_;
+    HttpResponse response_;
+    bool first_ = true;
+};
+
+Admin::Admin(asio::io_context& io, Node& node, const tcp::endpoint& at)
+    : node_(node), acceptor_(io), retry_(io) {
+    acceptor_.open(at.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(at);
+    acceptor_.listen(64);
+    acceptor_.non_blocking(true);
+    accept();
+}
+
+Admin::~Admin() = default;
+
+void Admin::accept() {
+    acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
+        if (ec == asio::error::operation_aborted) return;
+        std::erase_if(sessions_, [](const auto& s) { return s.expired(); });
+        if (!ec) {
+            // One too many: the oldest goes, so that idle ones can't lock operators out.
+            if (sessions_.size() >= kMostSessions) {
+                if (const auto oldest = sessions_.front().lock()) oldest->end();
+                sessions_.pop_front();
+            }
+            const auto session = std::make_shared<Session>(node_, std::move(socket));
+            sessions_.push_back(session);
+            session->read();
+            return accept();
+        }
+        // Out of descriptors or memory: asking again at once would spin.
+        log_line("the operators' endpoint: accept: " + ec.message());
+        retry_.expires_after(kAcceptRetry);
+        retry_.async_wait([this](error_code stop) {
+            if (!stop) accept();
+        });
+    });
+}
+
+}  // namespace kelplb::net
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "kelplb/balancer.hpp"
@@ -17,8 +18,13 @@
 using boost::asio::ip::tcp;
 using boost::asio::ip::udp;
 
+struct Complaint {
+    std::string field, what;
+};
 struct ConfigError : std::runtime_error {
-    using std::runtime_error::runtime_error;
+    explicit ConfigError(std::vector<Complaint> all);
+    ConfigError(const std::string& field, const std::string& what);
+    std::vector<Complaint> complaints;  // all of them, not only the first
 };
 
 // One server as discovery lists it.
@@ -39,6 +45,13 @@
 // Reads discovery's form; throws ConfigError.
 HostList read_hosts(const nlohmann::json& json);
 
+// How a new generation is tried; bake 0: not at all.
+struct TrialRule {
+    Millis bake = 0;
+    double margin = 0.05;
+    std::size_t min_samples = 50;
+};
+
 struct Config {
     std::string name;
     tcp::endpoint listen;
@@ -50,23 +63,41 @@
     std::vector<udp::endpoint> peers;
     std::optional<udp::endpoint> peers_all;
     std::optional<HostList> known;
+    std::optional<tcp::endpoint> admin;
+    TrialRule trial;
 
-    Settings settings;
-    std::vector<std::string> zones;
+    Settings settings;  // without my_zone: zones have their numbers from whoever runs
+    std::optional<std::string> my_zone;
     std::vector<std::string> classes;
     Millis connect_timeout = 1000;
     Millis idle_close = 15000;
     Millis longest_deadline = 3000;
     Millis max_retry_after = 1000;
 
-    ZoneId zone(const std::string& name);  // a name not met before gets the next number
+    // What it was read from, without what is unknown or read at the start only.
+    std::string document;
+
+    // Index of a class by its name; classes.size() if there is none.
+    std::size_t class_index(std::string_view class_name) const;
 };
+// Throws ConfigError with every complaint at once.
 Config read_config(const nlohmann::json& json);
 
-// Reads the file that NODE_CONFIG names; NODE_NAME, NODE_LISTEN and NODE_DISCOVERY go before what it says.
-Config load_config();
-// The file again, for the address of discovery. Here the file goes before the variable: it is what has
-// changed.
-tcp::endpoint reload_discovery();
+// Text to JSON, with bounds on size and depth. Throws ConfigError that names `source`.
+nlohmann::json parse_config(std::string_view text, const std::string& source);
+
+// The text of the file that NODE_CONFIG names. One that is replaced meanwhile is read again.
+std::string read_config_file();
+
+// The file at the start; NODE_NAME, NODE_LISTEN and NODE_DISCOVERY go before what it says.
+nlohmann::json start_document();
+// Fields of the platform's that the table does not have are tolerated, and said so in a line.
+void log_unknown_fields(const nlohmann::json& document);
+// The file again. Here it goes before NODE_DISCOVERY: it is what has changed.
+nlohmann::json reload_document();
+
+// For a candidate while `running` is in force: what it leaves out of the fixed and start-only fields is as
+// it was, and complaints about those that differ. Unknown fields are refused if `strict`.
+Config read_candidate(nlohmann::json candidate, const Config& running, bool strict);
 
 }  // namespace kelplb::net
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -24,11 +24,15 @@
     bool whole = false;
 };
 
-Discovery::Discovery(asio::io_context& io, const Config& config, Handlers handlers)
-    : io_(io), config_(config), at_(config.discovery), handlers_(std::move(handlers)), pause_(io) {
-    if (config.known) seq_ = config.known->seq;
-    gap_ = !config.known;
-}
+Discovery::Discovery(asio::io_context& io, const tcp::endpoint& at, std::optional<std::uint64_t> known,
+                     bool on_request, Handlers handlers)
+    : io_(io),
+      at_(at),
+      handlers_(std::move(handlers)),
+      pause_(io),
+      seq_(known.value_or(0)),
+      on_request_(on_request),
+      gap_(!known) {}
 
 void Discovery::watch(bool active) {
     active_ = active;
@@ -110,7 +114,7 @@
     if (call->whole) fetch_ = false;
     // The next call goes out first, so that the watch never lapses.
     next();
-    if (list.whole || !list.hosts.empty() || config_.settings.list_on_request) handlers_.told(list);
+    if (list.whole || !list.hosts.empty() || on_request_) handlers_.told(list);
 }
 
 // What it said may be wrong, so what is held from it may be too: the whole list is next.
@@ -126,7 +130,7 @@
     log_line("discovery: " + why);
     call_.reset();
     kept_.reset();
-    if (config_.settings.list_on_request) {
+    if (on_request_) {
         active_ = false, fetch_ = false;
         return handlers_.failed();
     }
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -17,10 +17,14 @@
         std::function<void(const HostList&)> told;
         std::function<void()> failed;  // where lists are asked for: the call or the watch broke
     };
-    Discovery(asio::io_context& io, const Config& config, Handlers handlers);
+    // known: the number of the list held already. on_request: lists are asked for, and their failure told.
+    Discovery(asio::io_context& io, const tcp::endpoint& at, std::optional<std::uint64_t> known,
+              bool on_request, Handlers handlers);
 
     void watch(bool active);  // where lists are pushed, active from the start
     void fetch();             // the whole list, once
+    std::uint64_t seq() const { return seq_; }
+    void set_on_request(bool on_request) { on_request_ = on_request; }
     // From now on another address is asked, from the whole list on. What the old one still says is dropped.
     void move_to(const tcp::endpoint& to);
 
@@ -33,13 +37,13 @@
     void failed(const std::shared_ptr<Call>& call, const std::string& why);
 
     asio::io_context& io_;
-    const Config& config_;
     tcp::endpoint at_;
     Handlers handlers_;
     std::shared_ptr<Call> call_;
     std::unique_ptr<beast::tcp_stream> kept_;  // the connection for the next call
     asio::steady_timer pause_;
     std::uint64_t seq_ = 0;
+    bool on_request_;
     bool active_ = false;
     bool gap_ = false;  // something may have been missed: the whole list is next
     bool fetch_ = false;
--- /dev/null
+++ b/src/net/fields.cpp
@@ -0,0 +1,171 @@
+#include "net/fields.hpp"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string_view>
+
+namespace kelplb::net {
+
+namespace {
+
+using nlohmann::json;
+using enum FieldKind;
+
+constexpr FieldInfo kFields[] = {
+    {"name", fixed, "text", "the sidecar's name; `NODE_NAME` goes before it"},
+    {"listen", fixed, "address:port", "where clients connect; `NODE_LISTEN` goes before it"},
+    {"discovery", live, "address:port",
+     "where the list of servers is asked for; at the start `NODE_DISCOVERY` goes before it, later the file "
+     "does"},
+    {"seed", start_only, "hex number", "for the random choices"},
+    {"limits.sockets", live, "whole number",
+     "descriptors the process may use, 64 at least (1024); may not be raised beyond what the system allows"},
+    {"limits.memory_mb", live, "amount", "memory the process may use (256)"},
+    {"limits.cores", unused, "", "the platform's"},
+    {"peer_listen", live, "address:port", "where datagrams of other sidecars arrive"},
+    {"peers[]", live, "address:port", "the sidecars of the tier by their numbers, this one included"},
+    {"peers_all", live, "address:port", "reaches all of them"},
+    {"known.*", start_only, "list", "the servers as last held, in discovery's form"},
+    {"admin.listen", fixed, "address:port", "the operators' endpoint, on loopback only; none if absent"},
+    {"trial.bake_ms", live, "time", "how long a new generation is on trial; 0 (if absent): not at all"},
+    {"trial.margin", live, "share",
+     "a trial ends badly when the share served falls by more than this (0.05)"},
+    {"trial.min_samples", live, "whole number", "and is judged by no fewer answers than this (50)"},
+    {"settings.classes[].name", live, "text", "the class, as in `X-Service-Class`"},
+    {"settings.classes[].effect", live, "word", "`repeatable`, `by_key` or `once`"},
+    {"settings.classes[].dedup-scope", live, "word", "`all`, `zone` or `cell`"},
+    {"settings.classes[].dedup-window-ms", live, "time", "how long servers drop repeats by key"},
+    {"settings.classes[].on-time-ms", live, "time", "the aim: an answer within it earns full worth"},
+    {"settings.classes[].aim-stretch", live, "amount",
+     "the aim grows by this multiple of the request's work"},
+    {"settings.classes[].credit", live, "amount", "worth of a request, against other classes"},
+    {"settings.classes[].give-up-ms", live, "time", "the longest that a client waits (3000)"},
+    {"settings.classes[].late-value", unused, "", "the platform's"},
+    {"settings.classes[].stream", unused, "", "the platform's"},
+    {"settings.azs[]", live, "text", "the zones"},
+    {"settings.my-zone", live, "text", "this sidecar's"},
+    {"settings.membership-mode", live, "word", "`pushed` or `on_request`"},
+    {"settings.siblings", live, "whole number", "sidecars that share the servers, this one included"},
+    {"settings.my-number", live, "whole number", "of these, from 0"},
+    {"settings.limits.max-attempts", live, "whole number", "attempts for one request, the first included"},
+    {"settings.limits.parallel-tries", live, "flag", "two attempts of one request may be out together"},
+    {"settings.limits.may-cancel", live, "flag", "attempts may be given up early"},
+    {"settings.limits.may-probe", live, "flag", "servers may be probed"},
+    {"settings.limits.may-tell", live, "flag", "datagrams may be sent to other sidecars"},
+    {"settings.limits.connect-timeout-ms", live, "time", "for a connection to come up"},
+    {"settings.limits.idle-close-ms", live, "time", "servers close a connection idle for this long"},
+    {"settings.limits.max-retry-after-ms", live, "time", "the longest advice in `Retry-After`"},
+    {"settings.limits.*", unused, "", "the platform's"},
+    {"settings.rules.cold-from", live, "share", "what a server does at least when it has just started"},
+    {"settings.rules.fall-multiple", live, "amount", "of what it can do, that fells a cold server"},
+    {"settings.rules.warm-within-ms", live, "time", "after which a server does all it can"},
+    {"settings.rules.*", unused, "", "the platform's"},
+    {"settings.fees.cross-zone", live, "amount", "for an attempt that leaves the zone"},
+    {"settings.fees.probe", live, "amount", "for a probe"},
+    {"settings.fees.*", unused, "", "the platform's"},
+    {"settings.clients.*", unused, "", "the platform's"},
+    {"settings.domain-type", unused, "", "the platform's"},
+    {"settings.family-info.*", unused, "", "the platform's"},
+    {"settings.goal.*", unused, "", "the platform's"},
+    {"settings.granularity-ms", unused, "", "the platform's"},
+    {"settings.layers.*", unused, "", "the platform's"},
+    {"settings.models.*", unused, "", "the platform's"},
+    {"settings.over-share-worth", unused, "", "the platform's"},
+    {"settings.report.*", unused, "", "the platform's"},
+    {"settings.tenants.*", unused, "", "the platform's"},
+    {"settings.tier", unused, "", "the platform's"},
+    {"settings.weights", unused, "", "the platform's"},
+    {"settings.worth-by", unused, "", "the platform's"},
+};
+
+// What the table says of a path: a field, on the way to one, or nothing.
+struct Place {
+    const FieldInfo* field = nullptr;
+    bool on_the_way = false;
+};
+Place place_of(std::string_view path) {
+    Place found;
+    for (const FieldInfo& f : kFields) {
+        std::string_view known = f.path;
+        if (known == path) return {&f, false};
+        if (known.ends_with(".*")) {
+            known.remove_suffix(2);
+            // "settings.limits.*" says nothing of settings.limits itself: fields stand there.
+            const bool below = path.size() > known.size() && path.starts_with(known) &&
+                               (path[known.size()] == '.' || path[known.size()] == '[');
+            if ((below || path == known) && !found.field) found.field = &f;
+        }
+        const bool way = path.empty() || (known.size() > path.size() && known.starts_with(path) &&
+                                          (known[path.size()] == '.' || known[path.size()] == '['));
+        found.on_the_way |= way;
+    }
+    if (found.on_the_way) found.field = nullptr;
+    return found;
+}
+
+// Copies what is known and meant to last, and notes what is unknown. `path` names items, `pattern` does not.
+std::optional<json> walk(const json& value, const std::string& path, const std::string& pattern,
+                         std::vector<std::string>* unknown, std::size_t most) {
+    const Place place = place_of(pattern);
+    if (place.field) return place.field->kind == start_only ? std::nullopt : std::optional<json>(value);
+    if (!place.on_the_way) {
+        if (unknown && unknown->size() < most) unknown->push_back(path);
+        return std::nullopt;
+    }
+    json kept = value;
+    if (value.is_object()) {
+        kept = json::object();
+        for (const auto& [name, item] : value.items()) {
+            const std::string dot = path.empty() ? "" : ".";
+            if (auto part = walk(item, path + dot + name, pattern + dot + name, unknown, most))
+                kept[name] = std::move(*part);
+        }
+    } else if (value.is_array()) {
+        kept = json::array();
+        for (std::size_t i = 0; i < value.size(); ++i)
+            if (auto part =
+                    walk(value[i], path + "[" + std::to_string(i) + "]", pattern + "[]", unknown, most))
+                kept.push_back(std::move(*part));
+    }
+    return kept;
+}
+
+}  // namespace
+
+std::span<const FieldInfo> config_fields() { return kFields; }
+
+const char* word(FieldKind kind) {
+    switch (kind) {
+        case live:
+            return "live";
+        case start_only:
+            return "start";
+        case fixed:
+            return "fixed";
+        case unused:
+            break;
+    }
+    return "unused";
+}
+
+std::vector<std::string> unknown_fields(const json& config, std::size_t most) {
+    std::vector<std::string> unknown;
+    walk(config, "", "", &unknown, most);
+    return unknown;
+}
+
+json generation_document(const json& config) {
+    return walk(config, "", "", nullptr, 0).value_or(json::object());
+}
+
+std::string fields_as_markdown() {
+    std::string text = "| field | kind | form | meaning |\n| --- | --- | --- | --- |\n";
+    for (const FieldInfo& f : kFields)
+        text +=
+            std::string("| `") + f.path + "` | " + word(f.kind) + " | " + f.form + " | " + f.meaning + " |\n";
+    return text;
+}
+
+}  // namespace kelplb::net
--- /dev/null
+++ b/src/net/generations.hpp
@@ -0,0 +1,97 @@
+// Generations of the configuration: which is in force, which may be gone back to, and the trial of a new one.
+// No sockets and no clock: times come in, and whoever carries out what due() says commits it here again.
+#pragma once
+
+#include <array>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "net/config.hpp"
+
+namespace kelplb::net {
+
+// Never changed once it is in force: a request holds the one it began with to its end.
+struct Snapshot {
+    std::uint64_t generation = 0;
+    Config config;
+    SettingsPtr settings;  // the same, with its zone's number
+};
+using SnapshotPtr = std::shared_ptr<const Snapshot>;
+
+class Generations {
+public:
+    enum class Source { start, file, operators, rollback, trial, recovery };
+    enum class State {
+        good,
+        on_trial,
+        taken_back,  // its trial ended badly
+        superseded,  // another generation came before its trial had ended
+        withdrawn    // an operator went back before its trial had ended
+    };
+    struct Entry {
+        SnapshotPtr snapshot;
+        std::uint64_t content = 0;  // the generation that first said the same
+        Source source = Source::start;
+        State state = State::good;
+        Millis at = 0;
+        std::string note;
+        std::uint64_t number() const { return snapshot->generation; }
+    };
+    struct Share {
+        std::uint64_t served = 0, all = 0;
+        double value() const { return all > 0 ? static_cast<double>(served) / static_cast<double>(all) : 1; }
+    };
+    struct Trial {
+        TrialRule rule;
+        std::uint64_t fallback = 0;  // the last good one
+        Share before, during;
+        Millis since = 0;
+    };
+    static constexpr std::size_t kKept = 8;
+    static constexpr Millis kLongestWait = 4;  // times the bake, for the smallest number of samples
+
+    std::uint64_t next() const { return next_; }
+    // Numbers go on from there: a state from before the start named generations too.
+    void go_on_from(std::uint64_t generation) { next_ = std::max(next_, generation); }
+
+    // It is in force from now on. content: 0 for one that says something new.
+    void committed(SnapshotPtr snapshot, Source source, std::uint64_t content, const TrialRule& rule,
+                   Millis now);
+    // The final answer of a request that began with that generation.
+    void answered(std::uint64_t generation, bool served, Millis now);
+
+    // A trial that ended badly: the entry to go back to, and why. It says so until that is committed.
+    struct Return {
+        const Entry* to = nullptr;
+        std::string why;
+    };
+    std::optional<Return> due(Millis now);
+
+    const Entry& current() const { return kept_.back(); }
+    const std::deque<Entry>& kept() const { return kept_; }
+    const Entry* find(std::uint64_t generation) const;
+    // Where an operator's "back" without a number leads: out of a trial to the last good one, else to the
+    // newest good one older than what is in force says. None: there is nothing older.
+    const Entry* previous() const;
+    const std::optional<Trial>& trial() const { return trial_; }
+    Share recent(Millis now) const;  // of the last minute
+
+private:
+    struct Second {
+        std::int64_t at = -1;
+        Share share;
+    };
+    void forget();
+
+    std::uint64_t next_ = 1;
+    std::deque<Entry> kept_;  // the one in force last
+    std::optional<Trial> trial_;
+    std::array<Second, 60> seconds_{};
+};
+
+const char* word(Generations::Source source);
+const char* word(Generations::State state);
+
+}  // namespace kelplb::net
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -141,6 +141,7 @@
     void begin() {
         state_ = State::reading;
         began_ = owner_.clock_.now();
+        snapshot_ = owner_.sidecar_.snapshot();
         if (until_ == 0) until_ = began_ + kReadTime;
         parser_.emplace();
         parser_->header_limit(kMaxHeader);
@@ -174,7 +175,10 @@
         const HttpRequest& head = parser_->get();
         auto fault = framing_fault(head);
         const bool framed = !fault;
-        if (!fault && !is_health()) fault = form_fault(head, owner_.sidecar_.config());
+        if (!fault && !is_health()) {
+            fault = form_fault(head, snapshot_->config);
+            if (fault && owner_.on_misfit) owner_.on_misfit(snapshot_, head);
+        }
         const std::size_t length = parser_->chunked() ? kMaxBody : parser_->content_length().value_or(0);
         if (fault) {
             keep_ = framed && length == 0 && head.keep_alive();
@@ -203,21 +207,22 @@
                          keep_);
         }
         // What follows the chunks may add to the head.
-        if (chunked && (framing_fault(*request) || form_fault(*request, owner_.sidecar_.config())))
+        if (chunked && (framing_fault(*request) || form_fault(*request, snapshot_->config)))
             return reject(http::status::bad_request);
         std::string name((*request)["X-Correlation-Id"]);
         if (!owner_.open_.insert(name).second) return write(HttpResponse(http::status::conflict, 11), keep_);
         open_name_ = std::move(name);
         const Millis spent = owner_.clock_.now() - began_;
         // Longer than any class waits, no client does.
-        const Millis left =
-            std::min(*parse_time_left((*request)["X-Time-Left"]), owner_.sidecar_.config().longest_deadline);
+        Millis left =
+            std::min(*parse_time_left((*request)["X-Time-Left"]), snapshot_->config.longest_deadline);
+        if (owner_.draining_) left = std::min(left, owner_.latest_ - owner_.clock_.now());
         strip_hop_by_hop(*request);
         request->prepare_payload();
         state_ = State::waiting;
         until_ = 0;
         id_ = owner_.sidecar_.arrived(std::move(request), std::max(0.0, left - spent - kAnswerMargin),
-                                      weak_from_this());
+                                      weak_from_this(), std::move(snapshot_));
         if (in_.size() < kAhead) receive();
     }
 
@@ -233,6 +238,7 @@
         state_ = State::writing;
         release();
         parser_.reset();
+        snapshot_.reset();
         until_ = owner_.clock_.now() + kWriteTime;
         out_ = std::move(response);
         out_.version(11);
@@ -272,6 +278,7 @@
     beast::flat_buffer in_;
     std::optional<http::request_parser<http::string_body>> parser_;
     HttpResponse out_;
+    SnapshotPtr snapshot_;  // that the request being read began with
     RequestId id_ = 0;
     std::string open_name_;
     std::size_t head_bytes_ = 0, claimed_ = 0, discarded_ = 0;
@@ -358,13 +365,21 @@
         for (const auto& session : sessions_)
             if (session->is_due(now)) due.push_back(session);
         for (const auto& session : due) session->time_is_up();
+        // A limit lowered while more were open.
+        while (sessions_.size() > limits_.connections + 1 && make_room()) {
+        }
         accept();
         sweep();
     });
 }
 
-void Listener::drain() {
+void Listener::drain(Millis latest) {
     draining_ = true;
+    latest_ = latest;
+    close_quiet();
+}
+
+void Listener::close_quiet() {
     const Sessions all = sessions_;
     for (const auto& session : all)
         if (session->quiet()) session->close();
@@ -380,7 +395,7 @@
     }
     stopped_ = true;
     acceptor_.close(ec);
-    drain();
+    close_quiet();
 }
 
 bool Listener::busy() const { return !sessions_.empty(); }
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -25,8 +25,14 @@
     tcp::endpoint endpoint() const { return acceptor_.local_endpoint(); }
     void open_for_use() { ready_ = true; }  // /healthz answers 200 from here on, once a list is held
 
+    // Lowered below what is in use, nothing is cut: idle connections go, and no new ones are taken.
+    void set_limits(const Limits& limits) { limits_ = limits, accept(); }
+    // A request that does not fit the configuration it began with.
+    std::function<void(const SnapshotPtr&, const HttpRequest&)> on_misfit;
+
     // From now on each answer closes its connection, and idle ones are closed; new ones are still taken.
-    void drain();
+    // What comes has until then at the longest.
+    void drain(Millis latest);
     // No new ones either. What waits in the kernel is taken first.
     void stop_accepting();
     // Connections with a request being read, served or answered.
@@ -38,6 +44,7 @@
     using Sessions = std::list<std::shared_ptr<Session>>;
 
     void accept();
+    void close_quiet();
     bool make_room();
     void admit(tcp::socket socket);
     void closed(Session& session);
@@ -54,6 +61,7 @@
     Sessions sessions_;                     // those quiet longest come first
     std::unordered_set<std::string> open_;  // ids of the requests that await their answer
     std::size_t body_bytes_ = 0;            // claimed by requests held
+    Millis latest_ = 0;
     bool ready_ = false;
     bool draining_ = false;
     bool accepting_ = false;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -3,7 +3,10 @@
 #include <sys/resource.h>
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
+#include "net/admin.hpp"
+#include "net/form.hpp"
 #include "net/log.hpp"
 
 namespace kelplb::net {
@@ -14,6 +17,10 @@
 constexpr std::chrono::milliseconds kAcceptOn{600}, kLook{10};
 // What is still held by then has passed every deadline; the kill is near.
 constexpr Millis kLastMoment = 500;
+// And what comes late in a drain has its answer this long before.
+constexpr Millis kTellAll = 50;
+// How often a trial is looked at.
+constexpr Millis kShortLook = 20, kLongLook = 500;
 
 // Descriptors for all but connections: the log, the loop, the listener, discovery, peers, and some to spare.
 constexpr std::size_t kSpare = 32;
@@ -35,37 +42,97 @@
     return static_cast<std::size_t>(static_cast<double>(connections(config)) * kForClients);
 }
 
+Upstream::Limits upstream_limits(const Config& config) {
+    return {config.connect_timeout, config.idle_close, connections(config) - from_clients(config), kSettle};
+}
+Listener::Limits listener_limits(const Config& config) {
+    return {from_clients(config) - 1,  // it takes one over the limit
+            std::max<std::size_t>(kMaxBody, (config.memory_mb << 20) / kBodyPart)};
+}
+
+// Descriptors that are not there can't be promised. What was in force at the start is held to what there is.
+void check_descriptors(const Config& config, const Config& running) {
+    rlimit limit{};
+    if (config.sockets <= running.sockets || getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+    if (config.sockets > limit.rlim_cur)
+        throw ConfigError("limits.sockets", "asks for more descriptors than the system allows, which is " +
+                                                std::to_string(limit.rlim_cur));
+}
+
+Change refusal(std::uint64_t generation, std::vector<Complaint> complaints) {
+    return {Change::Result::refused, generation, std::move(complaints), {}};
+}
+
 }  // namespace
 
+const char* word(Change::Result result) {
+    switch (result) {
+        case Change::Result::applied:
+            return "applied";
+        case Change::Result::unchanged:
+            return "unchanged";
+        case Change::Result::sound:
+            return "sound";
+        case Change::Result::refused:
+            return "refused";
+        case Change::Result::conflict:
+            return "conflict";
+        case Change::Result::missing:
+            break;
+    }
+    return "missing";
+}
+
+// What a commit needs, with all that could fail behind it.
+struct Node::Prepared {
+    std::shared_ptr<Snapshot> snapshot;
+    std::shared_ptr<Peers> peers;  // the ones in use, others, or none
+    bool other_peers = false;
+};
+
 Node::Node(asio::io_context& io, Config config)
     : io_(io),
-      config_(std::move(config)),
-      sidecar_(io, clock_, config_,
-               {config_.connect_timeout, config_.idle_close, connections(config_) - from_clients(config_),
-                kSettle}),
-      listener_(io, clock_, sidecar_,
-                {from_clients(config_) - 1,  // it takes one over the limit
-                 std::max<std::size_t>(kMaxBody, (config_.memory_mb << 20) / kBodyPart)}),
-      discovery_(io, config_,
+      sidecar_(io, clock_, zones_, snapshot_of(config, generations_.next()), upstream_limits(config)),
+      listener_(io, clock_, sidecar_, listener_limits(config)),
+      peers_(open_peers(config)),
+      discovery_(io, config.discovery, config.known ? std::optional(config.known->seq) : std::nullopt,
+                 config.settings.list_on_request,
                  {[this](const HostList& list) { sidecar_.told(list); }, [this] { sidecar_.list_failed(); }}),
-      timer_(io) {
-    if (config_.peer_listen && config_.settings.may_tell)
-        peers_ =
-            std::make_unique<Peers>(io, config_, [this](std::uint32_t from, std::vector<std::uint8_t> bytes) {
-                sidecar_.peer_said(from, std::move(bytes));
-            });
+      timer_(io),
+      trial_timer_(io) {
+    generations_.committed(sidecar_.snapshot(), Generations::Source::start, 0, {}, clock_.now());
+    if (peers_) {
+        peers_->use(config.peers, config.peers_all);
+        peers_->listen();
+    }
     sidecar_.connect_to(discovery_, peers_.get());
-    listener_.listen(config_.listen);
+    sidecar_.on_answer = [this](std::uint64_t generation, bool served) {
+        generations_.answered(generation, served, clock_.now());
+    };
+    listener_.on_misfit = [this](const SnapshotPtr& snapshot, const HttpRequest& head) {
+        misfit(snapshot, head);
+    };
+    listener_.listen(config.listen);
+    if (config.admin) admin_ = std::make_unique<Admin>(io, *this, *config.admin);
     sidecar_.start();
-    if (!config_.settings.list_on_request) discovery_.watch(true);
+    if (!config.settings.list_on_request) discovery_.watch(true);
     listener_.open_for_use();
 }
 
+Node::~Node() {
+    if (peers_) peers_->stop();
+}
+
+std::optional<tcp::endpoint> Node::admin_endpoint() const {
+    return admin_ ? std::optional(admin_->endpoint()) : std::nullopt;
+}
+
 void Node::stop(std::function<void()> done) {
     if (stopped_) return;
     stopped_ = std::move(done);
-    stop_at_ = clock_.now() + config_.longest_deadline + kLastMoment;
-    listener_.drain();
+    trial_timer_.cancel();  // it stays undecided
+    stop_at_ = clock_.now() + sidecar_.snapshot()->config.longest_deadline + kLastMoment;
+    listener_.drain(stop_at_ - kTellAll);
     timer_.expires_after(kAcceptOn);
     timer_.async_wait([this](error_code ec) {
         if (ec) return;
@@ -74,12 +141,170 @@
     });
 }
 
-void Node::reload() {
+// ---- Changes of the configuration -------------------------------------------------------------------------
+
+std::shared_ptr<Snapshot> Node::snapshot_of(Config config, std::uint64_t generation) {
+    auto snapshot = std::make_shared<Snapshot>();
+    snapshot->generation = generation;
+    Settings settings = config.settings;
+    if (config.my_zone) settings.my_zone = zones_.number(*config.my_zone);
+    snapshot->settings = std::make_shared<const Settings>(std::move(settings));
+    snapshot->config = std::move(config);
+    return snapshot;
+}
+
+std::shared_ptr<Peers> Node::open_peers(const Config& config) {
+    if (!config.peer_listen || !config.settings.may_tell) return nullptr;
+    return std::make_shared<Peers>(io_, *config.peer_listen,
+                                   [this](std::uint32_t from, std::vector<std::uint8_t> bytes) {
+                                       sidecar_.peer_said(from, std::move(bytes));
+                                   });
+}
+
+Node::Prepared Node::prepare(Config config) {
+    Prepared p;
+    const Config& running = sidecar_.snapshot()->config;
+    check_descriptors(config, running);
+    const bool wanted = config.peer_listen && config.settings.may_tell;
+    p.other_peers = wanted ? !peers_ || peers_->endpoint() != *config.peer_listen : peers_ != nullptr;
+    if (!p.other_peers) {
+        p.peers = peers_;
+    } else {
+        try {
+            p.peers = open_peers(config);
+        } catch (const boost::system::system_error& error) {
+            throw ConfigError("peer_listen", "can't be listened on: " + error.code().message());
+        }
+    }
+    if (p.peers && p.other_peers) p.peers->use(config.peers, config.peers_all);
+    p.snapshot = snapshot_of(std::move(config), generations_.next());
+    return p;
+}
+
+// Nothing here waits or can be refused: from the first line to the last nothing else happens in this process.
+void Node::commit(Prepared p, Generations::Source source, std::uint64_t content, const TrialRule& rule) {
+    const Millis start = clock_.now();
+    const Config& config = p.snapshot->config;
+    const SnapshotPtr before = sidecar_.snapshot();  // to the end, whoever else lets go of it
+    discovery_.set_on_request(config.settings.list_on_request);
+    sidecar_.use(p.snapshot, upstream_limits(config));
+    if (p.other_peers) {
+        if (peers_) peers_->stop();
+        peers_ = std::move(p.peers);
+        if (peers_) peers_->listen();
+        sidecar_.connect_to(discovery_, peers_.get());
+    } else if (peers_) {
+        peers_->use(config.peers, config.peers_all);
+    }
+    listener_.set_limits(listener_limits(config));
+    discovery_.move_to(config.discovery);
+    if (!config.settings.list_on_request) discovery_.watch(true);
+    generations_.committed(p.snapshot, source, content, rule, start);
+    counts_.last_pause = clock_.now() - start;
+    counts_.longest_pause = std::max(counts_.longest_pause, counts_.last_pause);
+    log_line("generation " + std::to_string(p.snapshot->generation) + " of the configuration is in force (" +
+             word(source) + ")");
+    watch_trial();
+}
+
+Change Node::change(const nlohmann::json& candidate, Generations::Source source, bool strict,
+                    const ChangeOptions& options) {
+    const Millis start = clock_.now();
+    const SnapshotPtr running = sidecar_.snapshot();
+    if (options.expected && *options.expected != running->generation)
+        return {Change::Result::conflict, running->generation, {}, "another generation is in force"};
+    try {
+        Config config = read_candidate(candidate, running->config, strict);
+        const TrialRule rule = options.trial.value_or(config.trial);
+        if (!strict) log_unknown_fields(candidate);
+        if (config.document == running->config.document) {
+            counts_.unchanged += options.dry_run ? 0 : 1;
+            return {Change::Result::unchanged, running->generation, {}, {}};
+        }
+        if (options.dry_run) check_descriptors(config, running->config);
+        if (options.dry_run) return {Change::Result::sound, running->generation, {}, {}};
+        commit(prepare(std::move(config)), source, 0, rule);
+    } catch (const ConfigError& error) {
+        counts_.refused += options.dry_run ? 0 : 1;
+        return refusal(running->generation, error.complaints);
+    } catch (const std::exception& error) {  // memory above all
+        counts_.refused += options.dry_run ? 0 : 1;
+        return refusal(running->generation, {{"the configuration", error.what()}});
+    }
+    ++counts_.applied;
+    counts_.last_change = clock_.now() - start;
+    counts_.longest_change = std::max(counts_.longest_change, counts_.last_change);
+    return {Change::Result::applied, sidecar_.snapshot()->generation, {}, {}};
+}
+
+Change Node::roll_back(std::optional<std::uint64_t> to, std::optional<std::uint64_t> expected) {
+    const std::uint64_t now = sidecar_.snapshot()->generation;
+    if (expected && *expected != now)
+        return {Change::Result::conflict, now, {}, "another generation is in force"};
+    const Generations::Entry* target = to ? generations_.find(*to) : generations_.previous();
+    if (!target && to) return {Change::Result::missing, now, {}, "that generation is not kept"};
+    if (!target) return {Change::Result::conflict, now, {}, "no older generation is kept"};
+    if (target->number() == now) return {Change::Result::unchanged, now, {}, {}};
+    const std::uint64_t content = target->content;
     try {
-        discovery_.move_to(reload_discovery());
+        commit(prepare(target->snapshot->config), Generations::Source::rollback, content, {});
     } catch (const ConfigError& error) {
-        log_line(std::string("the old configuration stays in force: ") + error.what());
+        ++counts_.refused;
+        return refusal(now, error.complaints);
     }
+    ++counts_.rolled_back;
+    return {Change::Result::applied, sidecar_.snapshot()->generation, {}, {}};
+}
+
+void Node::reload() {
+    if (reload_posted_) return;
+    reload_posted_ = true;
+    asio::post(io_, [this] {
+        reload_posted_ = false;
+        Change done;
+        try {
+            done = change(reload_document(), Generations::Source::file, false, {});
+        } catch (const ConfigError& error) {
+            ++counts_.refused;
+            done.complaints = error.complaints;
+        }
+        if (done.result != Change::Result::refused) return;
+        for (const Complaint& c : done.complaints)
+            log_line("the old configuration stays in force: " + c.field + " " + c.what);
+    });
+}
+
+// A request that the new configuration turns away though the one before would have taken it: to the client
+// that is one not served. What neither takes says nothing of either.
+void Node::misfit(const SnapshotPtr& snapshot, const HttpRequest& head) {
+    const auto& trial = generations_.trial();
+    if (!trial || snapshot->generation != generations_.current().number()) return;
+    const Generations::Entry* before = generations_.find(trial->fallback);
+    if (before && !form_fault(head, before->snapshot->config))
+        generations_.answered(snapshot->generation, false, clock_.now());
+}
+
+void Node::watch_trial() {
+    trial_timer_.cancel();
+    if (!generations_.trial() || stopped_) return;
+    const Millis look = std::clamp(generations_.trial()->rule.bake / 50, kShortLook, kLongLook);
+    trial_timer_.expires_at(clock_.point(clock_.now() + look));
+    trial_timer_.async_wait([this](error_code ec) {
+        if (ec) return;
+        if (const auto back = generations_.due(clock_.now())) {
+            log_line("generation " + std::to_string(generations_.current().number()) +
+                     " is taken back: " + back->why);
+            try {
+                const std::uint64_t content = back->to->content;
+                commit(prepare(back->to->snapshot->config), Generations::Source::trial, content, {});
+                ++counts_.taken_back;
+                return;
+            } catch (const std::exception& error) {  // tried again at the next look
+                log_line(std::string("it can't be taken back yet: ") + error.what());
+            }
+        }
+        watch_trial();
+    });
 }
 
 void Node::wind_down() {
--- a/src/net/node.hpp
+++ b/src/net/node.hpp
@@ -1,39 +1,99 @@
-// All the parts of one sidecar, wired together.
+// All the parts of one sidecar, wired together, and how its configuration changes while it runs.
 #pragma once
 
 #include <functional>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 
 #include "net/discovery.hpp"
+#include "net/generations.hpp"
 #include "net/listener.hpp"
 #include "net/peers.hpp"
 
 namespace kelplb::net {
 
+class Admin;
+
+// How a change of the configuration ended.
+struct Change {
+    enum class Result {
+        applied,
+        unchanged,  // it says what is in force
+        sound,      // a dry run: it could be applied
+        refused,    // nothing has changed; complaints say why
+        conflict,   // another generation is in force than was expected, or there is none to go back to
+        missing     // no such generation is kept
+    };
+    Result result = Result::refused;
+    std::uint64_t generation = 0;  // in force now
+    std::vector<Complaint> complaints{};
+    std::string note{};
+};
+const char* word(Change::Result result);
+
+struct ChangeOptions {
+    bool dry_run = false;
+    std::optional<std::uint64_t> expected{};  // the generation that must be in force
+    std::optional<TrialRule> trial{};         // in place of the candidate's own
+};
+
 class Node {
 public:
     Node(asio::io_context& io, Config config);  // throws if it can't listen
+    ~Node();
     tcp::endpoint endpoint() const { return listener_.endpoint(); }
+    std::optional<tcp::endpoint> admin_endpoint() const;
 
     // A planned stop: serves on while clients are still sent here, then finishes what it holds.
     void stop(std::function<void()> done);
 
-    // The file of the configuration has changed. Only discovery's address is taken from it.
+    // The file of the configuration has changed. Calls that come close together count as one.
     void reload();
 
+    // A candidate goes through all stages (it has been parsed): checked, prepared, committed in this turn of
+    // the loop. Whatever fails leaves all as it was. `strict` refuses unknown fields.
+    Change change(const nlohmann::json& candidate, Generations::Source source, bool strict,
+                  const ChangeOptions& options);
+    // To a generation that is kept; without a number, to the one before (Generations::previous).
+    Change roll_back(std::optional<std::uint64_t> to, std::optional<std::uint64_t> expected);
+
+    struct Counts {
+        std::uint64_t applied = 0, refused = 0, unchanged = 0, rolled_back = 0, taken_back = 0;
+        Millis last_pause = 0, longest_pause = 0;    // of the loop, for a commit
+        Millis last_change = 0, longest_change = 0;  // and with reading, checking and preparing
+    };
+    const Counts& counts() const { return counts_; }
+    const Generations& generations() const { return generations_; }
+    const Sidecar& sidecar() const { return sidecar_; }
+    const Listener& listener() const { return listener_; }
+    const Discovery& discovery() const { return discovery_; }
+    const Clock& clock() const { return clock_; }
+    Peers* peers() { return peers_.get(); }  // none: nothing may be told
+    bool stopping() const { return static_cast<bool>(stopped_); }
     Sidecar::Held held() const { return sidecar_.held(); }
 
 private:
+    struct Prepared;
+    std::shared_ptr<Snapshot> snapshot_of(Config config, std::uint64_t generation);
+    Prepared prepare(Config config);
+    void commit(Prepared prepared, Generations::Source source, std::uint64_t content, const TrialRule& rule);
+    std::shared_ptr<Peers> open_peers(const Config& config);
+    void watch_trial();
+    void misfit(const SnapshotPtr& snapshot, const HttpRequest& head);
     void wind_down();
 
     asio::io_context& io_;
     Clock clock_;
-    Config config_;
+    Zones zones_;
+    Generations generations_;
     Sidecar sidecar_;
     Listener listener_;
-    std::unique_ptr<Peers> peers_;
+    std::shared_ptr<Peers> peers_;
     Discovery discovery_;
-    asio::steady_timer timer_;
+    std::unique_ptr<Admin> admin_;
+    asio::steady_timer timer_, trial_timer_;
+    Counts counts_;
+    bool reload_posted_ = false;
     std::function<void()> stopped_;
     Millis stop_at_ = 0;
 };
--- a/src/net/peers.hpp
+++ b/src/net/peers.hpp
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -11,18 +12,26 @@
 
 namespace kelplb::net {
 
-class Peers {
+class Peers : public std::enable_shared_from_this<Peers> {
 public:
     using Heard = std::function<void(std::uint32_t from, std::vector<std::uint8_t> bytes)>;
-    Peers(asio::io_context& io, const Config& config, Heard heard);  // throws if it can't listen
+    Peers(asio::io_context& io, const udp::endpoint& at, Heard heard);  // throws if it can't listen
+
+    // Whom the numbers mean from here on.
+    void use(std::vector<udp::endpoint> peers, std::optional<udp::endpoint> all);
+    void listen();  // once, when it is in use
+    void stop();    // nothing is heard any more
+    udp::endpoint endpoint() const { return at_; }
 
     void tell(std::optional<std::uint32_t> to, const std::vector<std::uint8_t>& bytes);
 
 private:
     static constexpr std::size_t kLongest = 256;
-    void listen();
 
-    const Config& config_;
+    const udp::endpoint at_;
+    std::vector<udp::endpoint> peers_;
+    std::optional<udp::endpoint> all_;
+    bool stopped_ = false;
     Heard heard_;
     udp::socket socket_;
     udp::endpoint from_;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -12,11 +12,19 @@
 
 namespace kelplb::net {
 
-Sidecar::Sidecar(asio::io_context& io, const Clock& clock, Config& config, Upstream::Limits limits)
+ZoneId Zones::number(const std::string& name) {
+    const auto next = static_cast<ZoneId>(numbers_.size());
+    if (numbers_.size() >= kMost && numbers_.count(name) == 0) return next;
+    return numbers_.try_emplace(name, next).first->second;
+}
+
+Sidecar::Sidecar(asio::io_context& io, const Clock& clock, Zones& zones, SnapshotPtr snapshot,
+                 Upstream::Limits limits)
     : io_(io),
       clock_(clock),
-      config_(config),
-      balancer_(config.settings, config.seed),
+      zones_(zones),
+      snapshot_(std::move(snapshot)),
+      balancer_(*snapshot_->settings, snapshot_->config.seed),
       upstream_(
           io, clock, limits,
           {[this](AttemptKey key, Outcome outcome, HttpResponse* response) {
@@ -31,13 +39,26 @@
 
 void Sidecar::start() {
     push(Started{});
-    if (config_.known) told(*config_.known, true);
+    if (snapshot_->config.known) told(*snapshot_->config.known, true);
+}
+
+void Sidecar::use(SnapshotPtr snapshot, Upstream::Limits limits) {
+    pump();
+    snapshot_ = std::move(snapshot);
+    upstream_.set_limits(limits);
+    push(SettingsChanged{snapshot_->settings});
+    pump();
 }
 
 Sidecar::Held Sidecar::held() const {
     const Balancer::Held module = balancer_.held();
-    return {requests_.size() + module.requests, upstream_.out(), servers_.size(), module.servers,
-            upstream_.pools()};
+    return {requests_.size() + module.requests,
+            upstream_.out(),
+            servers_.size(),
+            module.servers,
+            upstream_.pools(),
+            upstream_.open(),
+            module.removed};
 }
 
 // ---- Events
@@ -63,20 +84,23 @@
     arm();
 }
 
-RequestId Sidecar::arrived(RequestPtr message, Millis time_left, std::weak_ptr<Client> client) {
+RequestId Sidecar::arrived(RequestPtr message, Millis time_left, std::weak_ptr<Client> client,
+                           SnapshotPtr snapshot) {
     const RequestId id = next_request_++;
-    const auto& names = config_.classes;
+    ++totals_.arrived;
     RequestArrived event;
     event.id = id;
     event.time_left = time_left;
     event.repeat = (*message)["X-Repeat"] == "1";
     const auto hint = (*message)["X-Weight-Hint"];
     if (!hint.empty()) event.effort = std::max(0.0, std::atof(std::string(hint).c_str()) / 1000);
-    const auto name = std::find(names.begin(), names.end(), (*message)["X-Service-Class"]);
-    event.class_index = static_cast<std::uint32_t>(name - names.begin());
+    const auto name = (*message)["X-Service-Class"];
+    event.class_index = static_cast<std::uint32_t>(snapshot->config.class_index({name.data(), name.size()}));
+    event.settings = snapshot->settings;
     Request& request = requests_[id];
     request.message = std::move(message);
     request.client = std::move(client);
+    request.snapshot = std::move(snapshot);
     ++unanswered_;
     push(event);
     return id;
@@ -87,6 +111,7 @@
     if (at == requests_.end() || at->second.ended) return;
     at->second.ended = true;
     --unanswered_;
+    ++totals_.left;
     upstream_.withdraw_request(id);
     push(ClientGone{id});
     drop_request(id);
@@ -105,7 +130,7 @@
         s.phase = host.phase;
         s.listed = host.phase != Phase::off;
         if (s.listed) s.dial = host.dial;
-        event.servers.push_back({id, config_.zone(host.zone), host.cell, host.phase, host.born, host.units});
+        event.servers.push_back({id, zones_.number(host.zone), host.cell, host.phase, host.born, host.units});
     }
     holds_list_ = true;
     // Nothing that is still connecting goes to a server that drains or is gone: told is told from here on.
@@ -139,7 +164,7 @@
     if ((outcome == Outcome::completed || unfit) && !request.ended && response) {
         strip_hop_by_hop(*response);
         response->erase("X-Backend-Load");
-        answer(key.id, request, std::move(*response));
+        answer(key.id, request, std::move(*response), unfit ? totals_.passed_on : totals_.served);
     }
     event.request_ended = request.ended;
     push(event);
@@ -205,10 +230,14 @@
     if (at != requests_.end() && at->second.ended && at->second.out == 0) requests_.erase(at);
 }
 
-void Sidecar::answer(RequestId id, Request& request, HttpResponse response) {
+void Sidecar::answer(RequestId id, Request& request, HttpResponse response, std::uint64_t& total) {
     if (request.ended) return;
     request.ended = true;
     --unanswered_;
+    ++total;
+    // What a server says of the request itself is no failure of ours.
+    if (on_answer && &total != &totals_.passed_on)
+        on_answer(request.snapshot->generation, &total == &totals_.served);
     if (const auto client = request.client.lock()) client->answer(std::move(response));
     upstream_.withdraw_request(id);
 }
@@ -224,12 +253,14 @@
     const AttemptKey key{a.id, request.attempts++};
     request.sent.emplace_back(clock_.now(), a.server);
     ++request.out;
+    ++totals_.attempts;
     if (to != servers_.end()) ++to->second.out;
     // Between the decision and now the request may have ended, or its server been told away.
     if (request.ended || to == servers_.end() || !to->second.listed || to->second.phase != Phase::on)
         return attempt_ended(key, Outcome::superseded, nullptr);
     due_.push({a.try_until, 0, due_order_++, key, 0});
-    upstream_.send(key, a.server, to->second.dial, request.message, a.try_until);
+    upstream_.send(key, a.server, to->second.dial, request.message, a.try_until,
+                   request.snapshot->config.connect_timeout);
 }
 
 void Sidecar::carry_out(const Cancel& a) { upstream_.cancel({a.id, a.attempt}); }
@@ -240,17 +271,18 @@
     HttpResponse response(http::status::service_unavailable, 11);
     if (a.retry_in > 0) {
         char seconds[32];
-        std::snprintf(seconds, sizeof seconds, "%.3f", std::min(a.retry_in, config_.max_retry_after) / 1000);
+        std::snprintf(seconds, sizeof seconds, "%.3f",
+                      std::min(a.retry_in, at->second.snapshot->config.max_retry_after) / 1000);
         response.set(http::field::retry_after, seconds);
     }
-    answer(a.id, at->second, std::move(response));
+    answer(a.id, at->second, std::move(response), totals_.refused);
     drop_request(a.id);
 }
 
 void Sidecar::carry_out(const GiveUp& a) {
     const auto at = requests_.find(a.id);
     if (at == requests_.end()) return;
-    answer(a.id, at->second, HttpResponse(http::status::bad_gateway, 11));
+    answer(a.id, at->second, HttpResponse(http::status::bad_gateway, 11), totals_.failed);
     drop_request(a.id);
 }
 
@@ -261,17 +293,20 @@
     if (to == servers_.end() || !to->second.listed)
         return push(ProbeEnded{a.server, Outcome::refused_connection, 0});
     ++to->second.out;
+    ++totals_.probes;
     upstream_.probe(a.server, to->second.dial);
 }
 
 void Sidecar::carry_out(const CloseIdle& a) { upstream_.close_idle(a.server); }
 
 void Sidecar::carry_out(const TellPeer& a) {
-    if (peers_) peers_->tell(a.to, a.bytes);
+    if (!peers_) return;
+    ++totals_.told;
+    peers_->tell(a.to, a.bytes);
 }
 
 void Sidecar::carry_out(const Subscribe& a) {
-    if (config_.settings.list_on_request && discovery_) discovery_->watch(a.active);
+    if (snapshot_->settings->list_on_request && discovery_) discovery_->watch(a.active);
 }
 
 void Sidecar::carry_out(const FetchList&) {
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -14,6 +15,7 @@
 #include "kelplb/balancer.hpp"
 #include "net/clock.hpp"
 #include "net/config.hpp"
+#include "net/generations.hpp"
 #include "net/http.hpp"
 #include "net/upstream.hpp"
 
@@ -29,15 +31,32 @@
     virtual void answer(HttpResponse response) = 0;  // exactly once for each request
 };
 
+// Numbers for zones, the same from one generation of the configuration to the next.
+class Zones {
+public:
+    ZoneId number(const std::string& name);  // a name not met before gets the next one
+
+private:
+    static constexpr std::size_t kMost = 1024;  // whatever discovery says: further ones share a number
+    std::unordered_map<std::string, ZoneId> numbers_;
+};
+
 class Sidecar {
 public:
-    Sidecar(asio::io_context& io, const Clock& clock, Config& config, Upstream::Limits limits);
+    Sidecar(asio::io_context& io, const Clock& clock, Zones& zones, SnapshotPtr snapshot,
+            Upstream::Limits limits);
     ~Sidecar();
     void connect_to(Discovery& discovery, Peers* peers);
     void start();  // with the list held from before, if there is one
+    // In force for what begins from here on. What has happened so far is handled by what was in force then.
+    // Not from within an event.
+    void use(SnapshotPtr snapshot, Upstream::Limits limits);
+    // The final answer of each request, by the generation that it began with.
+    std::function<void(std::uint64_t generation, bool served)> on_answer;
 
     // From clients. The answer comes later, through the client.
-    RequestId arrived(RequestPtr request, Millis time_left, std::weak_ptr<Client> client);
+    RequestId arrived(RequestPtr request, Millis time_left, std::weak_ptr<Client> client,
+                      SnapshotPtr snapshot);
     void client_gone(RequestId id);
 
     // From discovery and from other sidecars.
@@ -47,11 +66,18 @@
 
     bool holds_list() const { return holds_list_; }
     std::size_t unanswered() const { return unanswered_; }
-    const Config& config() const { return config_; }
+    const SnapshotPtr& snapshot() const { return snapshot_; }
+    // Since the start, by how they ended.
+    struct Totals {
+        std::uint64_t arrived = 0, served = 0, refused = 0, failed = 0, passed_on = 0, left = 0;
+        std::uint64_t attempts = 0, probes = 0, told = 0, connects = 0;
+    };
+    const Totals& totals() const { return totals_; }
     // What is held at present, here, on the sockets and in the module. At rest no request is, and of servers
     // only those listed.
     struct Held {
-        std::size_t requests = 0, attempts = 0, servers = 0, records = 0, pools = 0;
+        std::size_t requests = 0, attempts = 0, servers = 0, records = 0, pools = 0, connections = 0,
+                    removed = 0;
     };
     Held held() const;
 
@@ -59,6 +85,7 @@
     struct Request {
         RequestPtr message;
         std::weak_ptr<Client> client;
+        SnapshotPtr snapshot;  // that it began with
         std::uint32_t attempts = 0, out = 0;
         bool ended = false;
         std::vector<std::pair<Millis, ServerId>> sent;  // by attempt
@@ -93,7 +120,7 @@
     ServerId server(const std::string& name);
     void drop_server(ServerId id);
     void drop_request(RequestId id);
-    void answer(RequestId id, Request& request, HttpResponse response);
+    void answer(RequestId id, Request& request, HttpResponse response, std::uint64_t& total);
 
     void carry_out(const Send& a);
     void carry_out(const Cancel& a);
@@ -109,7 +136,9 @@
 
     asio::io_context& io_;
     const Clock& clock_;
-    Config& config_;
+    Zones& zones_;
+    SnapshotPtr snapshot_;
+    Totals totals_;
     Balancer balancer_;
     Upstream upstream_;
     Discovery* discovery_ = nullptr;
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -19,6 +19,7 @@
     RequestPtr request;
     Millis sent_at = 0;
     Millis until = 0;
+    Millis connect_timeout = 0;
 };
 
 // The connections to one server for as long as it is listed with this address and start.
@@ -58,12 +59,13 @@
 }
 
 void Upstream::send(AttemptKey key, ServerId server, const tcp::endpoint& to, RequestPtr request,
-                    Millis until) {
+                    Millis until, std::optional<Millis> connect_timeout) {
     auto job = std::make_unique<Job>();
     job->key = key;
     job->request = std::move(request);
     job->sent_at = clock_.now();
     job->until = until;
+    job->connect_timeout = connect_timeout.value_or(limits_.connect_timeout);
     start(std::move(job), server, to);
 }
 
@@ -105,6 +107,16 @@
     connect(link);
 }
 
+void Upstream::set_limits(const Limits& limits) {
+    limits_ = limits;
+    for (std::size_t before = open_ + 1; open_ > limits_.connections && open_ < before;) {
+        before = open_;
+        make_room();
+    }
+    for (const auto& [id, pool] : pools_)
+        for (const LinkPtr& link : pool->idle) close_in_time(link);
+}
+
 // Of those that nobody uses the one idle longest.
 void Upstream::make_room() {
     LinkPtr oldest;
@@ -144,7 +156,7 @@
     if (!ec) link->socket.set_option(asio::socket_base::receive_buffer_size(kKernelBuffer), ec);
     if (ec) return end(link, Outcome::refused_connection, nullptr, false);
     if (!link->job->probe) {
-        link->timer.expires_at(clock_.point(clock_.now() + limits_.connect_timeout));
+        link->timer.expires_at(clock_.point(clock_.now() + link->job->connect_timeout));
         link->timer.async_wait([this, link](error_code error) {
             if (!error && link->state == Link::State::connecting)
                 end(link, Outcome::refused_connection, nullptr, false);
@@ -258,16 +270,20 @@
     link->interim = 0;
     if (link->in.capacity() > kReadSize) link->in.shrink_to_fit();
     link->pool->idle.push_back(link);
+    close_in_time(link);
+    link->socket.async_wait(tcp::socket::wait_read, [this, link](error_code) {
+        // Whether ended or talking unasked, an idle connection that wakes is of no more use.
+        if (link->state == Link::State::idle && peek(link->socket) != Quiet::nothing) drop(link);
+    });
+}
+
+void Upstream::close_in_time(const LinkPtr& link) {
     // Well before the server does: what is written to a connection that it has closed is lost.
     link->timer.expires_at(
         clock_.point(link->idle_since + limits_.idle_close - std::min(1000.0, limits_.idle_close / 4)));
     link->timer.async_wait([this, link](error_code ec) {
         if (!ec && link->state == Link::State::idle) drop(link);
     });
-    link->socket.async_wait(tcp::socket::wait_read, [this, link](error_code) {
-        // Whether ended or talking unasked, an idle connection that wakes is of no more use.
-        if (link->state == Link::State::idle && peek(link->socket) != Quiet::nothing) drop(link);
-    });
 }
 
 void Upstream::drop(const LinkPtr& link) {
@@ -286,7 +302,7 @@
     std::unique_ptr<Job> job = std::move(link->job);
     link->timer.cancel();
     // The connection goes before anything is told, so that no next attempt can be out beside it.
-    if (keep)
+    if (keep && open_ <= limits_.connections)  // a limit may have been lowered below what is open
         park(link);
     else
         drop(link);
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -39,7 +39,8 @@
     Upstream(asio::io_context& io, const Clock& clock, Limits limits, Handlers handlers);
     ~Upstream();
 
-    void send(AttemptKey key, ServerId server, const tcp::endpoint& to, RequestPtr request, Millis until);
+    void send(AttemptKey key, ServerId server, const tcp::endpoint& to, RequestPtr request, Millis until,
+              std::optional<Millis> connect_timeout = {});  // none: that of the limits
     // Its time is up: overdue, or no connection if not a byte has gone out.
     void expire(AttemptKey key);
     // Not wanted any more: recalled, or superseded if not a byte has gone out (then it never ran).
@@ -53,6 +54,9 @@
     // As withdrawn, but for what is still connecting.
     void retire(ServerId server);
 
+    // Lowered below what is in use, nothing is cut: idle connections go, and no new ones come up.
+    void set_limits(const Limits& limits);
+
     std::size_t open() const { return open_; }
     std::size_t out() const { return attempts_.size(); }
     std::size_t pools() const { return pools_.size(); }
@@ -74,6 +78,7 @@
     void receive(const LinkPtr& link);
     void answered(const LinkPtr& link);
     void park(const LinkPtr& link);
+    void close_in_time(const LinkPtr& link);
     void drop(const LinkPtr& link);
     void end(const LinkPtr& link, Outcome outcome, HttpResponse* response, bool keep);
     void report(std::unique_ptr<Job> job, ServerId server, Outcome outcome, HttpResponse* response);
--- a/tests/net_rig.hpp
+++ b/tests/net_rig.hpp
@@ -8,6 +8,8 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <cstdio>
+#include <fstream>
 #include <functional>
 #include <future>
 #include <list>
@@ -258,7 +260,8 @@
 // A sidecar on a thread of its own.
 class Running {
 public:
-    explicit Running(const json& config) : node_(io_, read_config(config)), at(node_.endpoint()) {
+    explicit Running(const json& config)
+        : node_(io_, read_config(config)), at(node_.endpoint()), admin(node_.admin_endpoint().value_or(at)) {
         thread_ = std::thread([this] { io_.run(); });
     }
     ~Running() {
@@ -268,11 +271,17 @@
     void reload() {
         asio::post(io_, [this] { node_.reload(); });
     }
-    Sidecar::Held held() {
-        std::promise<Sidecar::Held> promise;
-        asio::post(io_, [&] { promise.set_value(node_.held()); });
+    // What the loop itself says, between two turns.
+    template <class F>
+    auto in_loop(F f) {
+        std::promise<decltype(f())> promise;
+        asio::post(io_, [&] { promise.set_value(f()); });
         return promise.get_future().get();
     }
+    Sidecar::Held held() {
+        return in_loop([this] { return node_.held(); });
+    }
+    Node& node() { return node_; }  // only from within in_loop
     void stop(std::function<void()> done) {
         asio::post(io_, [this, done] { node_.stop(done); });
     }
@@ -283,7 +292,22 @@
     std::thread thread_;
 
 public:
-    tcp::endpoint at;
+    tcp::endpoint at, admin;
+};
+
+// A file that stands in for the process's configuration.
+class ConfigFile {
+public:
+    explicit ConfigFile(const std::string& text) { write(text), ::setenv("NODE_CONFIG", path_.c_str(), 1); }
+    ~ConfigFile() { ::unsetenv("NODE_CONFIG"), std::remove(path_.c_str()); }
+    void write(const std::string& text) { std::ofstream(path_) << text; }
+    void replace(const std::string& text) {
+        std::ofstream(path_ + ".new") << text;
+        std::rename((path_ + ".new").c_str(), path_.c_str());
+    }
+
+private:
+    std::string path_ = testing::TempDir() + "kelplb_config_" + std::to_string(::getpid()) + ".json";
 };
 
 // The application beside the sidecar.
@@ -315,9 +339,34 @@
     tcp::socket connected(const tcp::endpoint& at) {
         tcp::socket socket(io_);
         socket.connect(at);
+        socket.set_option(tcp::no_delay(true));
         return socket;
     }
     static inline asio::io_context io_;
 };
 
+// An operator at the admin endpoint.
+class Operator {
+public:
+    explicit Operator(const tcp::endpoint& at) : app_(at) {}
+    HttpResponse raw(const std::string& text) { return app_.ask(text); }
+    HttpResponse call(const std::string& method, const std::string& target, const std::string& body = "") {
+        return raw(method + " " + target + " HTTP/1.1\r\nHost: 127.0.0.1:1\r\nContent-Length: " +
+                   std::to_string(body.size()) + "\r\n\r\n" + body);
+    }
+    json get(const std::string& target) {
+        const HttpResponse r = call("GET", target);
+        EXPECT_EQ(r.result_int(), 200u) << r.body();
+        return json::parse(r.body(), nullptr, false);
+    }
+    json post(const std::string& target, const json& body = nullptr, unsigned status = 200) {
+        const HttpResponse r = call("POST", target, body.is_null() ? "" : body.dump());
+        EXPECT_EQ(r.result_int(), status) << target << " " << r.body();
+        return json::parse(r.body(), nullptr, false);
+    }
+
+private:
+    App app_;
+};
+
 }  // namespace kelplb::net
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -542,17 +542,6 @@
     EXPECT_EQ(discovery.wait_for(2).at(1), "/v1/servers?after=1&wait_ms=20000") << "it was waited for";
 }
 
-// A file that stands in for the process's configuration.
-class ConfigFile {
-public:
-    explicit ConfigFile(const std::string& text) { write(text), ::setenv("NODE_CONFIG", path_.c_str(), 1); }
-    ~ConfigFile() { ::unsetenv("NODE_CONFIG"), std::remove(path_.c_str()); }
-    void write(const std::string& text) { std::ofstream(path_) << text; }
-
-private:
-    std::string path_ = testing::TempDir() + "kelplb_config_" + std::to_string(::getpid()) + ".json";
-};
-
 // The new address counts its lists for itself, and the old one has no more say, not even with a call that it
 // answers late. A file that can't be read changes nothing.
 TEST(Watch, MovesWithTheConfigurationAtOnce) {
@@ -948,26 +937,28 @@
     asio::io_context io(1);
     const udp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
     udp::socket peer(io, any), stranger(io, any);
-    Config config;
+    udp::endpoint at;
     {
         udp::socket probe(io, any);
-        config.peer_listen = probe.local_endpoint();
+        at = probe.local_endpoint();
     }
-    config.peers = {*config.peer_listen, peer.local_endpoint()};
     std::vector<std::vector<std::uint8_t>> heard;
-    Peers peers(io, config, [&](std::uint32_t from, std::vector<std::uint8_t> bytes) {
-        EXPECT_EQ(from, 1u);
-        heard.push_back(std::move(bytes));
-        io.stop();
-    });
+    const auto peers =
+        std::make_shared<Peers>(io, at, [&](std::uint32_t from, std::vector<std::uint8_t> bytes) {
+            EXPECT_EQ(from, 1u);
+            heard.push_back(std::move(bytes));
+            io.stop();
+        });
+    peers->use({at, peer.local_endpoint()}, std::nullopt);
+    peers->listen();
     const std::vector<std::uint8_t> fit(256, 1), long_one(257, 2), word(4, 3);
-    stranger.send_to(asio::buffer(word), *config.peer_listen);
-    peer.send_to(asio::buffer(long_one), *config.peer_listen);
-    peer.send_to(asio::buffer(fit), *config.peer_listen);
+    stranger.send_to(asio::buffer(word), at);
+    peer.send_to(asio::buffer(long_one), at);
+    peer.send_to(asio::buffer(fit), at);
     io.run_for(kPatience);
     EXPECT_EQ(heard, std::vector<std::vector<std::uint8_t>>{fit});
-    peers.tell(1, long_one);  // would break the rule on length: stays here
-    peers.tell(1, word);
+    peers->tell(1, long_one);  // would break the rule on length: stays here
+    peers->tell(1, word);
     std::array<std::uint8_t, 512> bytes{};
     EXPECT_EQ(peer.receive(asio::buffer(bytes)), word.size());
 }
--- a/tests/smoke.sh
+++ b/tests/smoke.sh
@@ -38,6 +38,23 @@
     sleep 0.1
 done
 grep -q 'discovery moves' "$folder/log"
+# A burst of signals, half a file among them: it serves on with what it had.
+cp "$folder/config.json" "$folder/good.json"
+head -c 200 "$folder/good.json" >"$folder/config.json"
+for _ in 1 2 3 4 5 6 7 8 9 10; do kill -HUP "$pid"; done
+for _ in $(seq 100); do
+    grep -q 'stays in force: NODE_CONFIG is not JSON' "$folder/log" && break
+    sleep 0.1
+done
+grep -q 'stays in force: NODE_CONFIG is not JSON' "$folder/log"
+exec 3<>"/dev/tcp/127.0.0.1/$port"
+printf 'GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n' >&3
+head -1 <&3 | grep -q '^HTTP/1.1 200'
+exec 3>&-
+status=0
+NODE_CONFIG="$folder/config.json" "$program" --check 2>"$folder/complaint" || status=$?
+[ "$status" = 2 ] && grep -q 'NODE_CONFIG is not JSON' "$folder/complaint"
+NODE_CONFIG="$folder/good.json" "$program" --check
 kill -TERM "$pid"
 wait "$pid"
 pid=
