The program's own fields stand under cobaltshift; what is no object is said to be none

Change: admin and trial moved to cobaltshift.admin and cobaltshift.trial. Also, where the file had something else in an object's place, its fields were taken as absent; now that is complained of.

--- a/src/net/admin.cpp
+++ b/src/net/admin.cpp
@@ -146,8 +146,7 @@
     json more = json::object();
     if (change.result == Change::Result::sound) {
         // What it would change: fields that it leaves out and that stay are no difference.
-        for (const char* field : {"name", "listen", "admin"})
-            if (!candidate.contains(field) && before.contains(field)) candidate[field] = before.at(field);
+        keep_fixed(candidate, before);
         more["changes"] = json::array();
         for (const auto& step : json::diff(before, generation_document(candidate)))
             more["changes"].push_back(step.at("op").get<std::string>() + " " +
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -42,6 +42,8 @@
 constexpr std::size_t kMostComplaints = 50;  // a file that is wrong throughout needs no more
 constexpr double kLongestTime = 1e9;         // in ms, over eleven days: beyond that clocks lose count
 constexpr int kReads = 5;
+// What the platform's file does not know stands here: its own fields may have any name.
+constexpr const char* kOwn = "cobaltshift";
 
 using Complaints = std::vector<Complaint>;
 
@@ -58,9 +60,9 @@
                                       [&](const Complaint& c) { return c.field == path_; });
         if (!said && complaints_->size() < kMostComplaints) complaints_->push_back({path_, what});
     }
-    bool has(const std::string& name) const { return child(name, false).value_ != nullptr; }
+    bool has(const std::string& name) const { return child(name).value_ != nullptr; }
     Field operator[](const std::string& name) const {
-        Field f = child(name, true);
+        Field f = child(name);
         if (!f.value_ && value_ && value_->is_object()) f.complain("is missing");
         return f;
     }
@@ -141,11 +143,11 @@
     }
 
 private:
-    Field child(const std::string& name, bool loud) const {
+    Field child(const std::string& name) const {
         const std::string path = path_.empty() ? name : path_ + "." + name;
         if (!value_) return {nullptr, path, *complaints_};
         if (!value_->is_object()) {
-            if (loud) complain("is not an object");
+            complain("is not an object");
             return {nullptr, path, *complaints_};
         }
         const auto at = value_->find(name);
@@ -265,6 +267,16 @@
     if (trial.min_samples == 0) field["min_samples"].complain("must be over 0");
 }
 
+void read_own(Config& c, const Field& own) {
+    if (own.has("admin")) {
+        const Field at = own["admin"]["listen"];
+        c.admin = at.endpoint<tcp>();
+        if (own["admin"].has("listen") && !c.admin->address().is_loopback())
+            at.complain("is not a loopback address");
+    }
+    if (own.has("trial")) read_trial(c.trial, own["trial"]);
+}
+
 Config read_all(const json& value, Complaints& complaints) {
     const Field root(&value, "", complaints);
     Config c;
@@ -286,12 +298,7 @@
         for (const Field& peer : root["peers"].items()) c.peers.push_back(peer.endpoint<udp>());
     if (root.has("peers_all")) c.peers_all = root["peers_all"].endpoint<udp>();
     if (root.has("known")) c.known = hosts_at(root["known"]);
-    if (root.has("admin")) {
-        c.admin = root["admin"]["listen"].endpoint<tcp>();
-        if (root["admin"].has("listen") && !c.admin->address().is_loopback())
-            root["admin"]["listen"].complain("is not a loopback address");
-    }
-    if (root.has("trial")) read_trial(c.trial, root["trial"]);
+    if (root.has(kOwn)) read_own(c, root[kOwn]);
     read_settings(c, root["settings"]);
     if (complaints.empty()) {
         try {
@@ -418,6 +425,15 @@
     return value;
 }
 
+void keep_fixed(json& candidate, const json& running) {
+    for (const char* field : {"name", "listen"})
+        if (!candidate.contains(field) && running.contains(field)) candidate[field] = running.at(field);
+    if (!running.contains(kOwn) || !running.at(kOwn).contains("admin")) return;
+    json& own = candidate[kOwn];
+    if (own.is_null()) own = json::object();
+    if (own.is_object() && !own.contains("admin")) own["admin"] = running.at(kOwn).at("admin");
+}
+
 Config read_candidate(json candidate, const Config& running, bool strict) {
     Complaints complaints;
     if (strict)
@@ -425,8 +441,7 @@
             complaints.push_back({field, "is not known"});
     if (candidate.is_object()) {
         const json now = json::parse(running.document);
-        for (const char* field : {"name", "listen", "admin"})
-            if (!candidate.contains(field) && now.contains(field)) candidate[field] = now.at(field);
+        keep_fixed(candidate, now);
         candidate.erase("known");  // read at the start only, and neither is looked at again
         candidate["seed"] = "0";
     }
@@ -438,7 +453,7 @@
     };
     fixed("name", running.name, config.name);
     fixed("listen", running.listen, config.listen);
-    fixed("admin.listen", running.admin, config.admin);
+    fixed("cobaltshift.admin.listen", running.admin, config.admin);
     if (!complaints.empty()) throw ConfigError(std::move(complaints));
     config.seed = running.seed;
     return config;
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -96,6 +96,8 @@
 // The file again. Here it goes before NODE_DISCOVERY: it is what has changed.
 nlohmann::json reload_document();
 
+// What a candidate leaves out of the fixed fields is as it was.
+void keep_fixed(nlohmann::json& candidate, const nlohmann::json& running);
 // For a candidate while `running` is in force: what it leaves out of the fixed and start-only fields is as
 // it was, and complaints about those that differ. Unknown fields are refused if `strict`.
 Config read_candidate(nlohmann::json candidate, const Config& running, bool strict);
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -19,7 +19,7 @@
     config["peer_listen"] = "127.0.0.1:7946";
     config["peers"] = {"127.0.0.1:7946", "127.0.0.2:7946"};
     config["peers_all"] = "127.0.0.255:7946";
-    config["trial"] = {{"bake_ms", 5000}, {"margin", 0.1}, {"min_samples", 20}};
+    config["cobaltshift"]["trial"] = {{"bake_ms", 5000}, {"margin", 0.1}, {"min_samples", 20}};
     config["settings"]["azs"] = {"a", "b"};
     config["settings"]["my-zone"] = "a";
     config["settings"]["goal"] = {{"whole", 0.4}};
@@ -55,7 +55,8 @@
     EXPECT_EQ(unknown_fields(config),
               (std::vector<std::string>{"limits.socket", "setings", "settings.classes[1].effects"}));
     config["known"]["hosts"][0]["whatever"] = 1;
-    EXPECT_EQ(unknown_fields(config).size(), 3u) << "what lies below known is discovery's";
+    config["admin"] = "the platform's own";
+    EXPECT_EQ(unknown_fields(config).size(), 4u) << "what lies below known is discovery's";
 }
 
 TEST(Fields, AGenerationLeavesOutWhatIsReadAtTheStartOnly) {
@@ -77,12 +78,12 @@
     config["settings"]["limits"]["max-attempts"] = 0;
     config["settings"]["rules"]["cold-from"] = 1.5;
     config["settings"]["siblings"] = -3;
-    config["admin"]["listen"] = "10.0.0.1:80";
+    config["cobaltshift"]["admin"]["listen"] = "10.0.0.1:80";
     EXPECT_EQ(
         complaints_of([&] { read_config(config); }),
         (std::vector<std::string>{
             "name is missing", "discovery is not a text", "limits.sockets is under 64, too few to serve with",
-            "peers[1] is not address:port", "admin.listen is not a loopback address",
+            "peers[1] is not address:port", "cobaltshift.admin.listen is not a loopback address",
             "settings.classes[0].on-time-ms must be over 0", "settings.classes[1].effect is not a known word",
             "settings.classes[2].name is the name of another class too",
             "settings.siblings is not a whole number", "settings.limits.max-attempts must be over 0",
@@ -91,22 +92,23 @@
 
 TEST(Candidate, FixedFieldsMayNotChangeAndStartOnlyOnesDoNotMatter) {
     json config = everything();
-    config["admin"]["listen"] = "127.0.0.1:0";
+    config["cobaltshift"]["admin"]["listen"] = "127.0.0.1:0";
     const Config running = read_config(config);
     json next = config;
     next["seed"] = "ff";
     next["known"] = "nonsense";
     EXPECT_EQ(read_candidate(next, running, true).document, running.document);
     EXPECT_EQ(read_candidate(next, running, true).seed, running.seed);
-    for (const char* field : {"name", "listen", "seed", "known", "admin"}) next.erase(field);
+    for (const char* field : {"name", "listen", "seed", "known"}) next.erase(field);
+    next["cobaltshift"].erase("admin");
     EXPECT_EQ(read_candidate(next, running, true).document, running.document) << "left out: as it was";
     next["name"] = "n1";
     next["listen"] = "127.0.0.1:9";
-    next["admin"]["listen"] = "127.0.0.1:9";
+    next["cobaltshift"]["admin"]["listen"] = "127.0.0.1:9";
     EXPECT_EQ(complaints_of([&] { read_candidate(next, running, true); }),
               (std::vector<std::string>{"name can't change while the program runs",
                                         "listen can't change while the program runs",
-                                        "admin.listen can't change while the program runs"}));
+                                        "cobaltshift.admin.listen can't change while the program runs"}));
 }
 
 TEST(Candidate, UnknownFieldsAreToleratedFromTheFileAndRefusedFromOperators) {
@@ -118,6 +120,25 @@
               (std::vector<std::string>{"settings.clases is not known"}));
 }
 
+TEST(Candidate, WhatIsNoObjectIsSaidToBeNone) {
+    json config = everything();
+    config["limits"] = 5;
+    config["cobaltshift"] = json::array();
+    config["settings"]["rules"] = "strict";
+    EXPECT_EQ(complaints_of([&] { read_config(config); }),
+              (std::vector<std::string>{"limits is not an object", "cobaltshift is not an object",
+                                        "settings.rules is not an object"}));
+}
+
+// The platform's file has fields that no page names, and one of them was called admin.
+TEST(Candidate, FieldsOfThePlatformsOwnAreLeftAlone) {
+    json config = everything();
+    config["admin"] = "127.0.0.1:80";
+    config["trial"] = 7;
+    config["state"] = json::array();
+    EXPECT_FALSE(read_config(config).admin);
+}
+
 // Whatever stands in a file, reading it ends with a configuration or with complaints.
 TEST(Candidate, RandomDamageIsComplainedOfAndNothingElse) {
     const Config running = read_config(everything());
--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -11,7 +11,7 @@
 const std::string kNowhere = "127.0.0.1:1";
 
 json with_admin(json config) {
-    config["admin"]["listen"] = "127.0.0.1:0";
+    config["cobaltshift"]["admin"]["listen"] = "127.0.0.1:0";
     return config;
 }
 
@@ -61,14 +61,14 @@
     const std::vector<std::pair<std::string, json>> table = {
         {"name", damaged("/name", "n7")},
         {"listen", damaged("/listen", "127.0.0.1:5")},
-        {"admin.listen", damaged("/admin/listen", "127.0.0.1:5")},
+        {"cobaltshift.admin.listen", damaged("/cobaltshift/admin/listen", "127.0.0.1:5")},
         {"discovery", damaged("/discovery", "nowhere")},
         {"limits.sockets", damaged("/limits/sockets", 3)},
         {"limits.sockets", damaged("/limits/sockets", 1u << 30)},  // more than the system allows
         {"limits.memory_mb", damaged("/limits/memory_mb", -1)},
         {"peers[0]", damaged("/peers", json::array({"x"}))},
-        {"trial.margin", damaged("/trial/margin", 2)},
-        {"trial.min_samples", damaged("/trial/min_samples", 0)},
+        {"cobaltshift.trial.margin", damaged("/cobaltshift/trial/margin", 2)},
+        {"cobaltshift.trial.min_samples", damaged("/cobaltshift/trial/min_samples", 0)},
         {"settings.classes", damaged("/settings/classes", json::array())},
         {"settings.classes[0].effect", damaged("/settings/classes/0/effect", "twice")},
         {"settings.classes[1].on-time-ms", damaged("/settings/classes/1/on-time-ms", 0)},
@@ -248,7 +248,7 @@
     FakeServer server;
     json config = with_admin(a_config(kNowhere, {host("s1", server.at())}));
     for (auto& c : config["settings"]["classes"]) c["give-up-ms"] = 100;
-    config["trial"] = {{"bake_ms", 100}, {"min_samples", 10}};
+    config["cobaltshift"]["trial"] = {{"bake_ms", 100}, {"min_samples", 10}};
     ConfigFile file(config.dump());
     Running sidecar(config);
     Operator ops(sidecar.admin);
