The module tells what was costly to learn, and takes it back in a later life

Need: a restarted sidecar asks every bad server again before it has removed it anew. Change: Balancer::learnt() and the event Recalled: removals with the backoff left, and paces. Recalled gives way to what this life has seen, keeps the panic threshold and never lengthens a backoff. Result: a removal goes on in the next life and ends by a trial; with the cap taken out the test for it fails.

--- a/include/kelplb/balancer.hpp
+++ b/include/kelplb/balancer.hpp
@@ -135,8 +135,18 @@
 struct SettingsChanged {
     SettingsPtr settings{};
 };
+// What is costly to learn anew about a server.
+struct Learnt {
+    ServerId server = 0;
+    Millis removed_for = 0;  // what is left of its backoff; 0: it is in the pool
+    double pace = 0;         // its answers' time against their aim, of late; 0: not known
+};
+// What an earlier life had learnt, less the time since. Only about servers that nothing is known of yet.
+struct Recalled {
+    std::vector<Learnt> learnt{};
+};
 using Event = std::variant<Started, ServerList, RequestArrived, FirstByte, AttemptEnded, ClientGone,
-                           TimerFired, ProbeEnded, PeerMessage, SettingsChanged>;
+                           TimerFired, ProbeEnded, PeerMessage, SettingsChanged, Recalled>;
 
 // ---- Actions --------------------------------------------------------------------------------------------
 // A caller must be able to carry out all of them; the present decisions use no FetchList.
@@ -202,6 +212,9 @@
     };
     Held held() const;
 
+    // For a later life, in the order of the servers' numbers.
+    std::vector<Learnt> learnt() const;
+
 private:
     struct Impl;
     std::unique_ptr<Impl> impl_;
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -277,6 +277,33 @@
         s.listed = info.phase != Phase::off;
     }
 
+    // A removal that was under way goes on, within the panic threshold and for no more than a whole backoff:
+    // what comes from a disk gives way to what this life has seen.
+    void on(const Recalled& e) {
+        for (const Learnt& l : e.learnt) {
+            const auto at = servers.find(l.server);
+            if (at == servers.end()) continue;
+            Server& s = at->second;
+            if (s.filled > 0 || s.outstanding > 0 || s.standing != Standing::live) continue;
+            if (l.pace > 0 && std::isfinite(l.pace)) s.pace = std::min(1.5, l.pace);
+            if (!(l.removed_for > 0) || !may_remove(false)) continue;
+            remove(s);
+            s.backoff_until = now + std::min(kBackoff, l.removed_for);
+        }
+    }
+
+    // One whose backoff is over but whose trial has not come yet, or is out, stays removed for a moment: the
+    // next life tries it as this one would have.
+    std::vector<Learnt> learnt() const {
+        std::vector<Learnt> all;
+        for (const auto& [id, s] : servers) {
+            const bool out = s.standing != Standing::live;
+            if (s.listed && (out || s.pace > 0))
+                all.push_back({id, out ? std::max(1.0, s.backoff_until - now) : 0, s.pace});
+        }
+        return all;
+    }
+
     // ---- Verdict: window, backoff, trial ----------------------------------------------------------------
 
     void judge(Server& s, const Attempt& a, Outcome outcome, bool late) {
@@ -731,6 +758,8 @@
     impl_->forget_done();
 }
 
+std::vector<Learnt> Balancer::learnt() const { return impl_->learnt(); }
+
 Balancer::Held Balancer::held() const {
     std::size_t removed = 0;
     for (const auto& [id, s] : impl_->servers) removed += s.listed && s.standing != Standing::live;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -130,6 +130,47 @@
     }
 }
 
+TEST(Recall, ARemovalGoesOnInTheNextLife) {
+    Rig rig(mixed(false), 4);
+    rig.list(ListKind::full, make_servers(4));
+    for (int i = 0; i < 200; ++i) {
+        const RequestId id = rig.request(0);
+        while (rig.out(id)) rig.end(id, rig.where(id) == 1 ? Outcome::errored : Outcome::completed, 5);
+    }
+    std::vector<Learnt> learnt = rig.balancer.learnt();
+    ASSERT_EQ(learnt.at(0).server, 1U);
+    EXPECT_GT(learnt[0].removed_for, 0);
+    EXPECT_LE(learnt[0].removed_for, 10000);
+    learnt[0].removed_for = 1e9;  // whatever the disk says: no longer than a backoff
+    Rig next(mixed(false), 5);
+    next.list(ListKind::saved, make_servers(4));
+    next.give(Recalled{learnt});
+    for (int i = 0; i < 100; ++i) {
+        const RequestId id = next.request(0);
+        EXPECT_NE(next.where(id), 1U);
+        next.end(id, Outcome::completed, 5);
+    }
+    next.pass(10000);
+    const RequestId trial = next.request(0);
+    EXPECT_EQ(next.where(trial), 1U) << "and a trial brings it back";
+    next.end(trial, Outcome::completed, 5);
+    EXPECT_EQ(next.balancer.held().removed, 0U);
+    next.give(Recalled{learnt});
+    EXPECT_EQ(next.balancer.held().removed, 1U) << "fresh as it is, it may be told of again";
+    next.give(Recalled{{{2, 5000, 0}, {77, 5000, 0}}});
+    EXPECT_EQ(next.balancer.held().removed, 1U) << "what this life has seen goes before";
+}
+
+TEST(Recall, CanNotEmptyThePool) {
+    Rig rig(mixed(false), 4);
+    rig.list(ListKind::saved, make_servers(6));
+    std::vector<Learnt> all;
+    for (ServerId s = 1; s <= 6; ++s) all.push_back({s, 9000, -3});
+    rig.give(Recalled{all});
+    EXPECT_EQ(rig.balancer.held().removed, 3U);
+    EXPECT_TRUE(rig.out(rig.request(0)));
+}
+
 TEST(Change, WhatWasLearntAboutServersStays) {
     Rig rig(mixed(false), 4);
     rig.list(ListKind::full, make_servers(4));
