With a state folder a sidecar comes back with its configuration, list and removals

Need: after a crash a sidecar knew nothing: it waited for discovery, lost what operators had changed, and a bad file kept it from starting. Change: src/net/keeper: last known good generation, list and what was learnt, aged by a clock that nobody sets where that is possible; the last word between file and state counts; a trial that was not over is not taken as good; three short lives in a row make the fourth start without the state. Off unless a folder is named; main asks for it before the node is made.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -22,14 +22,16 @@
         return 2;
     }
     try {
-        const nlohmann::json document = start_document();
-        Config config = read_config(document);
-        log_unknown_fields(document);
-        if (argument == "--check") return 0;
+        if (argument == "--check") {
+            const nlohmann::json document = start_document();
+            read_config(document);
+            log_unknown_fields(document);
+            return 0;
+        }
         asio::io_context io(1);
         // Before all else: a signal without its handler ends the process.
         asio::signal_set stop(io, SIGTERM, SIGINT), reload(io, SIGHUP);
-        Node node(io, std::move(config));
+        Node node(io, prepare_start());
         stop.async_wait([&](error_code ec, int) {
             if (!ec) node.stop([&] { io.stop(); });
         });
--- a/src/net/admin.cpp
+++ b/src/net/admin.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <cmath>
+#include <cstring>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -96,6 +97,19 @@
             {"during", share(t->during)}};
 }
 
+json state_now(const Node& node) {
+    Keeper* keeper = node.keeper();
+    if (!keeper) return nullptr;
+    const auto counts = keeper->counts();
+    json j = {{"usable", keeper->usable()},
+              {"settled", keeper->settled()},
+              {"written", counts.written},
+              {"failed", counts.failed},
+              {"bytes", counts.bytes}};
+    if (counts.last_error) j["last_error"] = std::strerror(counts.last_error);
+    return j;
+}
+
 json entry(const Generations::Entry& e) {
     json j = {{"generation", e.number()},
               {"content_of", e.content},
@@ -190,6 +204,7 @@
            {"servers", held.servers},
            {"removed", held.removed},
            {"discovery", discovery.str()}}},
+         {"state", state_now(node)},
          {"unanswered", node.sidecar().unanswered()},
          {"connections", {{"clients", node.listener().connections()}, {"servers", held.connections}}},
          {"changes",
@@ -245,6 +260,12 @@
     line("config_changes_total", c.unchanged, "{result=\"unchanged\"}");
     line("config_changes_total", c.rolled_back, "{result=\"rolled_back\"}");
     line("config_changes_total", c.taken_back, "{result=\"taken_back\"}");
+    if (Keeper* keeper = node.keeper()) {
+        const auto counts = keeper->counts();
+        counter("state_writes_total", counts.written, "Records written to the state folder.");
+        counter("state_write_failures_total", counts.failed, "Records that could not be written.");
+        counter("state_bytes_total", counts.bytes, "Bytes of the records written.");
+    }
     gauge("config_commit_seconds_max", c.longest_pause / 1000, "Longest pause of the loop for a commit.");
     gauge("config_change_seconds_max", c.longest_change / 1000, "The same with checking and preparing.");
     HttpResponse response(http::status::ok, 11);
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -274,6 +274,11 @@
         if (own["admin"].has("listen") && !c.admin->address().is_loopback())
             at.complain("is not a loopback address");
     }
+    if (own.has("state")) {
+        const Field state = own["state"];
+        if (state.has("dir")) c.state_dir = state["dir"].text();
+        if (state.has("lived_ms")) c.lived = state["lived_ms"].time();
+    }
     if (own.has("trial")) read_trial(c.trial, own["trial"]);
 }
 
@@ -428,10 +433,12 @@
 void keep_fixed(json& candidate, const json& running) {
     for (const char* field : {"name", "listen"})
         if (!candidate.contains(field) && running.contains(field)) candidate[field] = running.at(field);
-    if (!running.contains(kOwn) || !running.at(kOwn).contains("admin")) return;
-    json& own = candidate[kOwn];
-    if (own.is_null()) own = json::object();
-    if (own.is_object() && !own.contains("admin")) own["admin"] = running.at(kOwn).at("admin");
+    for (const char* field : {"admin", "state"}) {
+        if (!running.contains(kOwn) || !running.at(kOwn).contains(field)) continue;
+        json& own = candidate[kOwn];
+        if (own.is_null()) own = json::object();
+        if (own.is_object() && !own.contains(field)) own[field] = running.at(kOwn).at(field);
+    }
 }
 
 Config read_candidate(json candidate, const Config& running, bool strict) {
@@ -454,6 +461,7 @@
     fixed("name", running.name, config.name);
     fixed("listen", running.listen, config.listen);
     fixed("cobaltshift.admin.listen", running.admin, config.admin);
+    fixed("cobaltshift.state.dir", running.state_dir, config.state_dir);
     if (!complaints.empty()) throw ConfigError(std::move(complaints));
     config.seed = running.seed;
     return config;
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -65,6 +65,8 @@
     std::optional<HostList> known;
     std::optional<tcp::endpoint> admin;
     TrialRule trial;
+    std::string state_dir;  // empty: none
+    Millis lived = 2000;
 
     Settings settings;  // without my_zone: zones have their numbers from whoever runs
     std::optional<std::string> my_zone;
--- /dev/null
+++ b/src/net/keeper.cpp
@@ -0,0 +1,298 @@
+#include "net/keeper.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+#include <cstring>
+#include <ctime>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+#include "net/fields.hpp"
+#include "net/log.hpp"
+
+namespace kelplb::net {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kConfig = "config";
+constexpr const char* kWorld = "world";
+constexpr const char* kStarts = "starts";
+constexpr double kSlack = 1000;  // clocks of one machine agree within this
+
+double milliseconds(clockid_t clock) {
+    timespec t{};
+    clock_gettime(clock, &t);
+    return static_cast<double>(t.tv_sec) * 1e3 + static_cast<double>(t.tv_nsec) / 1e6;
+}
+
+void put(json& j, const Stamp& s) { j["wall_ms"] = s.wall, j["up_ms"] = s.up, j["boot"] = s.boot; }
+Stamp stamp(const json& j) {
+    return {j.at("wall_ms").get<double>(), j.at("up_ms").get<double>(), j.at("boot").get<std::string>()};
+}
+
+const char* word(Phase phase) {
+    return phase == Phase::on ? "SERVING" : phase == Phase::fading ? "DRAINING" : "DELETED";
+}
+
+json list_of(const HostList& list) {
+    json hosts = json::array();
+    for (const Host& h : list.hosts) {
+        std::ostringstream dial;
+        dial << h.dial;
+        hosts.push_back({{"host", h.name},
+                         {"dial", dial.str()},
+                         {"site", h.zone},
+                         {"block", h.cell},
+                         {"health", word(h.phase)},
+                         {"born_ms", h.born},
+                         {"share", h.units}});
+    }
+    return {{"seq", list.seq}, {"whole", true}, {"hosts", hosts}};
+}
+
+// A generation's document says nothing of what is read at the start only.
+Config read_document(json document, const std::string& seed, const json* known) {
+    document["seed"] = seed;
+    if (known) document["known"] = *known;
+    return read_config(document);
+}
+
+std::string sense_of_config(const store::Record& record) {
+    try {
+        const json j = json::parse(record.payload);
+        read_document(j.at("good"), "0", nullptr);  // the same checks as for a live change
+        j.at("next").get<std::uint64_t>();
+        j.at("file").get<std::string>();
+        j.at("on_trial").get<bool>();
+    } catch (const std::exception& error) {
+        return error.what();
+    }
+    return {};
+}
+
+std::string sense_of_world(const store::Record& record) {
+    try {
+        const json j = json::parse(record.payload);
+        stamp(j);
+        if (!read_hosts(j.at("list")).whole) return "its list is not whole";
+        j.at("discovery").get<std::string>();
+        for (const json& l : j.at("learnt")) {
+            l.at("host").get<std::string>();
+            for (const char* figure : {"born_ms", "removed_for_ms", "pace"})
+                if (!std::isfinite(l.at(figure).get<double>())) return "a figure makes no sense";
+        }
+    } catch (const std::exception& error) {
+        return error.what();
+    }
+    return {};
+}
+
+bool set(const char* variable) {
+    const char* text = std::getenv(variable);
+    return text && *text && std::string_view(text) != "0";
+}
+
+}  // namespace
+
+Stamp now_by_the_system() {
+    Stamp s{milliseconds(CLOCK_REALTIME), milliseconds(CLOCK_BOOTTIME), {}};
+    std::ifstream("/proc/sys/kernel/random/boot_id") >> s.boot;
+    return s;
+}
+
+std::optional<Millis> age(const Stamp& then, const Stamp& now) {
+    if (!then.boot.empty() && then.boot == now.boot) {
+        const double past = now.up - then.up;
+        return past < -kSlack ? std::nullopt : std::optional(std::max(0.0, past));
+    }
+    // Another start of the machine: what was written before it is no younger than that.
+    const double past = now.wall - then.wall;
+    if (!(past >= -kSlack)) return {};
+    return std::max({0.0, past, now.up});
+}
+
+std::unique_ptr<Keeper> Keeper::open(const std::string& path) {
+    store::OpenedFolder opened = store::open_folder(path);
+    if (!opened.folder) {
+        log_line("state: the folder can't be had, and nothing is kept: " +
+                 std::string(opened.error == EWOULDBLOCK ? "another process has it"
+                                                         : std::strerror(opened.error)));
+        return nullptr;
+    }
+    return std::make_unique<Keeper>(std::move(opened.folder), now_by_the_system);
+}
+
+Keeper::Keeper(std::shared_ptr<store::Folder> folder, Now now)
+    : folder_(std::move(folder)),
+      now_(std::move(now)),
+      store_(std::make_shared<store::Store>(*folder_,
+                                            [](const std::string& line) { log_line("state: " + line); })) {}
+
+Recovered Keeper::recover() {
+    Recovered r;
+    const Stamp now = now_();
+    int starts = 0;
+    const auto counted = store_->load(kStarts, [](const store::Record& record) {
+        const json j = json::parse(record.payload, nullptr, false);
+        return j.is_object() && j.contains("starts") && j["starts"].is_number_unsigned() ? "" : "no number";
+    });
+    if (counted) starts = json::parse(counted->payload).at("starts").get<int>();
+    // On the disk before any of the state is used: it may be what ends this life.
+    if (const int error = store_->save(kStarts, json{{"starts", starts + 1}}.dump())) {
+        log_line(std::string("state: it can't be written and so is not used: ") + std::strerror(error));
+        return r;
+    }
+    usable_ = true;
+    r.loop = starts >= kShortLives;
+    if (r.loop) {
+        log_line("state: started without it: the last " + std::to_string(starts) + " lives were short");
+        for (const char* kind : {kConfig, kWorld}) store_->set_aside(kind, "lives that used it were short");
+    }
+    if (const auto record = store_->load(kConfig, sense_of_config)) {
+        const json j = json::parse(record->payload);
+        r.good = j.at("good");
+        r.next = j.at("next");
+        r.file = j.at("file");
+        r.trial_lost = j.at("on_trial");
+    }
+    if (const auto record = store_->load(kWorld, sense_of_world)) {
+        const json j = json::parse(record->payload);
+        const auto past = age(stamp(j), now);
+        if (past.value_or(kOldestList) <= kOldestList) {
+            r.list = read_hosts(j.at("list"));
+            r.discovery = j.at("discovery");
+        } else {
+            log_line("state: the list of servers is too old to start from");
+        }
+        for (const json& l : j.at("learnt")) {
+            if (!past || !r.list) break;  // of unknown age: it may all be over
+            LearntServer s{l.at("host"), l.at("born_ms"), l.at("removed_for_ms").get<double>() - *past,
+                           *past <= kOldestPace ? l.at("pace").get<double>() : 0};
+            if (s.removed_for > 0 || s.pace > 0) r.learnt.push_back(std::move(s));
+        }
+    }
+    writer_ = std::make_unique<store::Writer>(folder_, store_);
+    return r;
+}
+
+void Keeper::keep_config(const Generations& generations, const std::string& file) {
+    if (!writer_) return;
+    const auto& trial = generations.trial();
+    const Generations::Entry* good = trial ? generations.find(trial->fallback) : &generations.current();
+    if (!good) return;
+    json j;
+    j["good"] = json::parse(good->snapshot->config.document);
+    j["file"] = file;
+    j["next"] = generations.next();
+    j["on_trial"] = trial.has_value();
+    std::string text = j.dump();
+    if (text == last_config_) return;
+    last_config_ = text;
+    writer_->submit(kConfig, std::move(text));
+}
+
+void Keeper::keep_world(const HostList& list, const std::string& discovery,
+                        const std::vector<LearntServer>& learnt) {
+    if (!writer_) return;
+    json j = {{"list", list_of(list)}, {"discovery", discovery}, {"learnt", json::array()}};
+    // What has changed since is told by all but the figures that change by themselves.
+    std::string same = j.dump();
+    for (const LearntServer& l : learnt)
+        if (l.removed_for > 0) same += l.name;
+    if (same == last_world_) return;
+    last_world_ = std::move(same);
+    for (const LearntServer& l : learnt)
+        j["learnt"].push_back(
+            {{"host", l.name}, {"born_ms", l.born}, {"removed_for_ms", l.removed_for}, {"pace", l.pace}});
+    put(j, now_());
+    writer_->submit(kWorld, j.dump());
+}
+
+void Keeper::lived() {
+    if (writer_) writer_->submit(kStarts, json{{"starts", 0}}.dump());
+}
+
+Start decide_start(const std::optional<json>& file, const Recovered& recovered) {
+    Start s;
+    if (file) {
+        s.config = read_config(*file);
+        s.file = s.config.document;
+        const json* known = file->contains("known") ? &file->at("known") : nullptr;
+        // The last word counts. A file that says what it said when it was last accepted is no new word, but
+        // what operators did since then, or a trial that was not won, is.
+        if (recovered.good && recovered.file == s.file && recovered.good->dump() != s.file) {
+            try {
+                json document = *recovered.good;
+                for (const char* field : {"name", "listen"}) document[field] = file->at(field);
+                const json mine = json::parse(s.file);
+                if (mine.contains("cobaltshift")) {
+                    for (const char* field : {"admin", "state"})
+                        if (mine["cobaltshift"].contains(field))
+                            document["cobaltshift"][field] = mine["cobaltshift"][field];
+                }
+                const Millis lived = s.config.lived;
+                s.config = read_document(document, file->at("seed").get<std::string>(), known);
+                s.config.lived = lived;  // as all that is read at the start only
+                s.source = Generations::Source::recovery;
+                log_line(recovered.trial_lost
+                             ? "state: a trial was not over when the last life ended: the last "
+                               "known good configuration is in force"
+                             : "state: the configuration last accepted is in force");
+            } catch (const std::exception& error) {
+                log_line(std::string("state: the configuration last accepted is not used: ") + error.what());
+            }
+        }
+    } else if (recovered.good) {
+        std::ostringstream seed;
+        std::random_device device;
+        seed << std::hex << device() << device();
+        s.config = read_document(*recovered.good, seed.str().substr(0, 16), nullptr);
+        s.source = Generations::Source::recovery;
+    }
+    std::ostringstream discovery;
+    discovery << s.config.discovery;
+    // The platform's list, unless ours is of the same discovery and newer.
+    const bool same = recovered.discovery == discovery.str();
+    if (recovered.list && (!s.config.known || (same && recovered.list->seq > s.config.known->seq))) {
+        s.config.known = recovered.list;
+        s.stored_list = true;
+    }
+    s.recovered = recovered;
+    return s;
+}
+
+Start prepare_start() {
+    std::optional<json> file;
+    std::optional<ConfigError> fault;
+    std::string folder;
+    try {
+        file = start_document();
+        const Config config = read_config(*file);
+        folder = config.state_dir;
+        log_unknown_fields(*file);
+    } catch (const ConfigError& error) {
+        fault = error;
+        file.reset();
+    }
+    if (const char* path = std::getenv("COBALTSHIFT_STATE_DIR"); path && *path) folder = path;
+    std::unique_ptr<Keeper> keeper;
+    Recovered recovered;
+    if (!folder.empty() && (!fault || set("COBALTSHIFT_LAST_KNOWN_GOOD")) && (keeper = Keeper::open(folder)))
+        recovered = keeper->recover();
+    if (fault) {
+        if (!recovered.good) throw *fault;
+        for (const auto& [variable, field] : {std::pair{"NODE_NAME", "name"}, {"NODE_LISTEN", "listen"}})
+            if (const char* text = std::getenv(variable); text && *text) (*recovered.good)[field] = text;
+        log_line(fault->what());
+        log_line("state: the file is refused and the last known good configuration steps in");
+    }
+    Start s = decide_start(file, recovered);
+    s.keeper = std::move(keeper);
+    return s;
+}
+
+}  // namespace kelplb::net
--- /dev/null
+++ b/src/net/keeper.hpp
@@ -0,0 +1,87 @@
+// What a sidecar keeps on disk, and what of it a later life may trust. Off unless a folder is configured. The
+// loop never waits for the disk, but once: at the start, before anybody is served.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "net/generations.hpp"
+#include "net/sidecar.hpp"
+#include "store/writer.hpp"
+
+namespace kelplb::net {
+
+// When something was written: by the wall clock, and by the time since this machine's start, which steps of
+// the wall clock don't touch.
+struct Stamp {
+    double wall = 0, up = 0;  // ms
+    std::string boot;         // of this start of the machine; empty: not known
+};
+Stamp now_by_the_system();
+// How long ago at least; none: the clock says it has not been yet, so nobody knows.
+std::optional<Millis> age(const Stamp& then, const Stamp& now);
+
+// Older than that, a list of servers is not started from. Of unknown age it is held to be just that old.
+constexpr Millis kOldestList = 24 * 3600e3;
+constexpr Millis kOldestPace = 60e3;
+
+struct Recovered {
+    std::optional<nlohmann::json> good;  // the last known good configuration, as a generation's document
+    std::string file;                    // what the file said when it was last accepted
+    std::uint64_t next = 1;              // no generation has had this number or a higher one
+    bool trial_lost = false;             // one was on trial when that life ended; it is not the good one
+    std::optional<HostList> list;
+    std::string discovery;             // that told it
+    std::vector<LearntServer> learnt;  // aged
+    bool loop = false;                 // the state was left aside: several lives in a row ended soon
+};
+
+class Keeper {
+public:
+    static constexpr int kShortLives = 3;  // in a row, and the state is started without
+    using Now = std::function<Stamp()>;
+
+    // None: it can't be had, which is logged.
+    static std::unique_ptr<Keeper> open(const std::string& path);
+    Keeper(std::shared_ptr<store::Folder> folder, Now now);
+
+    Recovered recover();  // once, first
+
+    void keep_config(const Generations& generations, const std::string& file);
+    // Only if it says something new.
+    void keep_world(const HostList& list, const std::string& discovery,
+                    const std::vector<LearntServer>& learnt);
+    void lived();  // long enough: this start was no part of a crash loop
+
+    bool usable() const { return usable_; }
+    store::Writer::Counts counts() const { return writer_ ? writer_->counts() : store::Writer::Counts(); }
+    bool settled() { return !writer_ || writer_->settled(std::chrono::milliseconds(0)); }
+
+private:
+    std::shared_ptr<store::Folder> folder_;
+    Now now_;
+    std::shared_ptr<store::Store> store_;
+    std::unique_ptr<store::Writer> writer_;  // from recover() on the store is its own
+    std::string last_world_, last_config_;
+    bool usable_ = false;
+};
+
+// What a process starts with: the file's configuration, or what the state folder has to say of it.
+struct Start {
+    Config config;
+    std::string file;  // the file's document; empty if it was refused
+    Generations::Source source = Generations::Source::start;
+    std::unique_ptr<Keeper> keeper;
+    Recovered recovered;
+    bool stored_list = false;  // config.known is the stored one: its number means nothing to discovery
+};
+// Throws ConfigError: the file is refused and nothing is configured to step in.
+Start prepare_start();
+// The decision alone: what the file (or its fault) and the state amount to.
+Start decide_start(const std::optional<nlohmann::json>& file, const Recovered& recovered);
+
+}  // namespace kelplb::net
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 #include "net/admin.hpp"
 #include "net/form.hpp"
@@ -21,6 +22,8 @@
 constexpr Millis kTellAll = 50;
 // How often a trial is looked at.
 constexpr Millis kShortLook = 20, kLongLook = 500;
+// How often it is looked whether there is something new to keep.
+constexpr Millis kKeepEvery = 1000;
 
 // Descriptors for all but connections: the log, the loop, the listener, discovery, peers, and some to spare.
 constexpr std::size_t kSpare = 32;
@@ -90,17 +93,40 @@
     bool other_peers = false;
 };
 
-Node::Node(asio::io_context& io, Config config)
+namespace {
+Start plain(Config config) {
+    Start s;
+    s.file = config.document;
+    s.config = std::move(config);
+    return s;
+}
+std::uint64_t first_number(Generations& generations, const Recovered& recovered) {
+    generations.go_on_from(recovered.next);
+    return generations.next();
+}
+}  // namespace
+
+Node::Node(asio::io_context& io, Config config) : Node(io, plain(std::move(config))) {}
+
+Node::Node(asio::io_context& io, Start start)
     : io_(io),
-      sidecar_(io, clock_, zones_, snapshot_of(config, generations_.next()), upstream_limits(config)),
-      listener_(io, clock_, sidecar_, listener_limits(config)),
-      peers_(open_peers(config)),
-      discovery_(io, config.discovery, config.known ? std::optional(config.known->seq) : std::nullopt,
-                 config.settings.list_on_request,
-                 {[this](const HostList& list) { sidecar_.told(list); }, [this] { sidecar_.list_failed(); }}),
+      keeper_(std::move(start.keeper)),
+      file_(start.file),
+      sidecar_(io, clock_, zones_, snapshot_of(start.config, first_number(generations_, start.recovered)),
+               upstream_limits(start.config)),
+      listener_(io, clock_, sidecar_, listener_limits(start.config)),
+      peers_(open_peers(start.config)),
+      // A stored list is a start and no more: discovery may count anew by now, so the whole list comes first.
+      discovery_(
+          io, start.config.discovery,
+          start.config.known && !start.stored_list ? std::optional(start.config.known->seq) : std::nullopt,
+          start.config.settings.list_on_request,
+          {[this](const HostList& list) { sidecar_.told(list); }, [this] { sidecar_.list_failed(); }}),
       timer_(io),
-      trial_timer_(io) {
-    generations_.committed(sidecar_.snapshot(), Generations::Source::start, 0, {}, clock_.now());
+      trial_timer_(io),
+      keep_timer_(io) {
+    const Config& config = sidecar_.snapshot()->config;
+    generations_.committed(sidecar_.snapshot(), start.source, 0, {}, clock_.now());
     if (peers_) {
         peers_->use(config.peers, config.peers_all);
         peers_->listen();
@@ -115,8 +141,12 @@
     listener_.listen(config.listen);
     if (config.admin) admin_ = std::make_unique<Admin>(io, *this, *config.admin);
     sidecar_.start();
+    if (!start.recovered.learnt.empty()) sidecar_.recall(start.recovered.learnt);
     if (!config.settings.list_on_request) discovery_.watch(true);
     listener_.open_for_use();
+    lived_after_ = config.lived;
+    keep_config();
+    if (keeper_) keep_on();
 }
 
 Node::~Node() {
@@ -204,9 +234,37 @@
     counts_.longest_pause = std::max(counts_.longest_pause, counts_.last_pause);
     log_line("generation " + std::to_string(p.snapshot->generation) + " of the configuration is in force (" +
              word(source) + ")");
+    keep_config();
     watch_trial();
 }
 
+void Node::keep_config() {
+    if (keeper_) keeper_->keep_config(generations_, file_);
+}
+
+void Node::keep_world() {
+    if (!keeper_ || discovery_.seq() == 0) return;  // what discovery has not told is no news
+    HostList list = sidecar_.list();
+    list.seq = discovery_.seq();
+    std::ostringstream at;
+    at << sidecar_.snapshot()->config.discovery;
+    keeper_->keep_world(list, at.str(), sidecar_.learnt());
+}
+
+void Node::keep_on() {
+    const Millis wait = lived_ ? kKeepEvery : std::min(kKeepEvery, lived_after_);
+    keep_timer_.expires_at(clock_.point(clock_.now() + wait));
+    keep_timer_.async_wait([this](error_code ec) {
+        if (ec) return;
+        if (!lived_ && clock_.now() >= started_ + lived_after_) {
+            lived_ = true;
+            keeper_->lived();
+        }
+        keep_world();
+        keep_on();
+    });
+}
+
 Change Node::change(const nlohmann::json& candidate, Generations::Source source, bool strict,
                     const ChangeOptions& options) {
     const Millis start = clock_.now();
@@ -218,12 +276,16 @@
         const TrialRule rule = options.trial.value_or(config.trial);
         if (!strict) log_unknown_fields(candidate);
         if (config.document == running->config.document) {
+            if (!options.dry_run && source == Generations::Source::file) file_ = config.document;
+            keep_config();
             counts_.unchanged += options.dry_run ? 0 : 1;
             return {Change::Result::unchanged, running->generation, {}, {}};
         }
         if (options.dry_run) check_descriptors(config, running->config);
         if (options.dry_run) return {Change::Result::sound, running->generation, {}, {}};
-        commit(prepare(std::move(config)), source, 0, rule);
+        Prepared prepared = prepare(std::move(config));
+        if (source == Generations::Source::file) file_ = prepared.snapshot->config.document;
+        commit(std::move(prepared), source, 0, rule);
     } catch (const ConfigError& error) {
         counts_.refused += options.dry_run ? 0 : 1;
         return refusal(running->generation, error.complaints);
@@ -291,7 +353,9 @@
     trial_timer_.expires_at(clock_.point(clock_.now() + look));
     trial_timer_.async_wait([this](error_code ec) {
         if (ec) return;
-        if (const auto back = generations_.due(clock_.now())) {
+        const auto back = generations_.due(clock_.now());
+        if (!generations_.trial()) keep_config();  // it is over, and well
+        if (back) {
             log_line("generation " + std::to_string(generations_.current().number()) +
                      " is taken back: " + back->why);
             try {
@@ -308,7 +372,10 @@
 }
 
 void Node::wind_down() {
-    if ((!listener_.busy() && sidecar_.unanswered() == 0) || clock_.now() >= stop_at_) return stopped_();
+    if ((!listener_.busy() && sidecar_.unanswered() == 0) || clock_.now() >= stop_at_) {
+        keep_world();
+        return stopped_();
+    }
     timer_.expires_after(kLook);
     timer_.async_wait([this](error_code ec) {
         if (!ec) wind_down();
--- a/src/net/node.hpp
+++ b/src/net/node.hpp
@@ -7,6 +7,7 @@
 
 #include "net/discovery.hpp"
 #include "net/generations.hpp"
+#include "net/keeper.hpp"
 #include "net/listener.hpp"
 #include "net/peers.hpp"
 
@@ -40,6 +41,7 @@
 class Node {
 public:
     Node(asio::io_context& io, Config config);  // throws if it can't listen
+    Node(asio::io_context& io, Start start);    // the same, with what an earlier life has left
     ~Node();
     tcp::endpoint endpoint() const { return listener_.endpoint(); }
     std::optional<tcp::endpoint> admin_endpoint() const;
@@ -68,7 +70,8 @@
     const Listener& listener() const { return listener_; }
     const Discovery& discovery() const { return discovery_; }
     const Clock& clock() const { return clock_; }
-    Peers* peers() { return peers_.get(); }  // none: nothing may be told
+    Peers* peers() { return peers_.get(); }           // none: nothing may be told
+    Keeper* keeper() const { return keeper_.get(); }  // none: nothing is kept
     bool stopping() const { return static_cast<bool>(stopped_); }
     Sidecar::Held held() const { return sidecar_.held(); }
 
@@ -78,12 +81,17 @@
     Prepared prepare(Config config);
     void commit(Prepared prepared, Generations::Source source, std::uint64_t content, const TrialRule& rule);
     std::shared_ptr<Peers> open_peers(const Config& config);
+    void keep_config();
+    void keep_world();
+    void keep_on();
     void watch_trial();
     void misfit(const SnapshotPtr& snapshot, const HttpRequest& head);
     void wind_down();
 
     asio::io_context& io_;
     Clock clock_;
+    std::unique_ptr<Keeper> keeper_;
+    std::string file_;  // what the file said when it was last accepted
     Zones zones_;
     Generations generations_;
     Sidecar sidecar_;
@@ -91,9 +99,12 @@
     std::shared_ptr<Peers> peers_;
     Discovery discovery_;
     std::unique_ptr<Admin> admin_;
-    asio::steady_timer timer_, trial_timer_;
+    asio::steady_timer timer_, trial_timer_, keep_timer_;
     Counts counts_;
     bool reload_posted_ = false;
+    Millis started_ = clock_.now();
+    bool lived_ = false;
+    Millis lived_after_ = 0;
     std::function<void()> stopped_;
     Millis stop_at_ = 0;
 };
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -127,6 +127,7 @@
         // Another process, or another address: what is open leads nowhere.
         if (s.born != host.born || s.dial != host.dial) upstream_.retire(id);
         s.born = host.born;
+        s.zone = host.zone, s.cell = host.cell, s.units = host.units;
         s.phase = host.phase;
         s.listed = host.phase != Phase::off;
         if (s.listed) s.dial = host.dial;
@@ -142,6 +143,33 @@
     for (const ServerId id : closed) drop_server(id);
 }
 
+HostList Sidecar::list() const {
+    HostList list;
+    list.whole = true;
+    for (const auto& [id, s] : servers_)
+        if (s.listed) list.hosts.push_back({s.name, s.dial, s.zone, s.cell, s.phase, s.born, s.units});
+    return list;
+}
+
+std::vector<LearntServer> Sidecar::learnt() const {
+    std::vector<LearntServer> all;
+    for (const Learnt& l : balancer_.learnt())
+        if (const auto s = servers_.find(l.server); s != servers_.end())
+            all.push_back({s->second.name, s->second.born, l.removed_for, l.pace});
+    return all;
+}
+
+void Sidecar::recall(const std::vector<LearntServer>& learnt) {
+    Recalled event;
+    for (const LearntServer& l : learnt) {
+        const auto id = server_ids_.find(l.name);
+        // Another process under the same name has its own record to make.
+        if (id == server_ids_.end() || servers_.at(id->second).born != l.born) continue;
+        event.learnt.push_back({id->second, l.removed_for, l.pace});
+    }
+    push(std::move(event));
+}
+
 void Sidecar::list_failed() { push(ServerList{ListKind::failed, {}}); }
 
 void Sidecar::peer_said(std::uint32_t from, std::vector<std::uint8_t> bytes) {
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -31,6 +31,14 @@
     virtual void answer(HttpResponse response) = 0;  // exactly once for each request
 };
 
+// What is costly to learn anew about a server, by its name and start.
+struct LearntServer {
+    std::string name;
+    Millis born = 0;
+    Millis removed_for = 0;  // 0: it is in the pool
+    double pace = 0;
+};
+
 // Numbers for zones, the same from one generation of the configuration to the next.
 class Zones {
 public:
@@ -64,6 +72,11 @@
     void list_failed();
     void peer_said(std::uint32_t from, std::vector<std::uint8_t> bytes);
 
+    // For a later life, and from an earlier one.
+    HostList list() const;
+    std::vector<LearntServer> learnt() const;
+    void recall(const std::vector<LearntServer>& learnt);
+
     bool holds_list() const { return holds_list_; }
     std::size_t unanswered() const { return unanswered_; }
     const SnapshotPtr& snapshot() const { return snapshot_; }
@@ -95,6 +108,9 @@
         tcp::endpoint dial;
         Phase phase = Phase::on;
         Millis born = 0;
+        std::string zone;
+        std::uint32_t cell = 0;
+        double units = 1;
         bool listed = false;
         std::uint32_t out = 0;  // attempts and probes
     };
--- /dev/null
+++ b/tests/crash_test.cpp
@@ -0,0 +1,285 @@
+// The real program, killed while it serves and while its configuration changes, and started again.
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <filesystem>
+
+#include "net_rig.hpp"
+
+extern char** environ;
+
+namespace kelplb::net {
+namespace {
+
+// What it has of this machine goes with it.
+class Place {
+public:
+    Place() {
+        std::string name = testing::TempDir() + "kelplb_crash_XXXXXX";
+        path = ::mkdtemp(name.data());
+    }
+    ~Place() { std::filesystem::remove_all(path); }
+    void write(const std::string& text) const {
+        std::ofstream(path + "/new") << text;
+        std::filesystem::rename(path + "/new", path + "/config.json");
+    }
+    std::string state() const { return path + "/state"; }
+    std::string log() const {
+        std::ifstream file(path + "/log");
+        return {std::istreambuf_iterator<char>(file), {}};
+    }
+    std::string path;
+};
+
+class Process {
+public:
+    Process(const Place& place, std::vector<std::string> more) {
+        std::vector<std::string> variables = {"NODE_CONFIG=" + place.path + "/config.json"};
+        for (char** v = environ; *v; ++v)
+            if (std::string(*v).rfind("NODE_", 0) != 0 && std::string(*v).rfind("COBALTSHIFT_", 0) != 0)
+                variables.emplace_back(*v);
+        for (auto& v : more) variables.push_back(std::move(v));
+        std::vector<char*> env;
+        for (auto& v : variables) env.push_back(v.data());
+        env.push_back(nullptr);
+        std::string program = KELPLB_PROGRAM;
+        char* arguments[] = {program.data(), nullptr};
+        posix_spawn_file_actions_t files;
+        posix_spawn_file_actions_init(&files);
+        const std::string log = place.path + "/log";
+        posix_spawn_file_actions_addopen(&files, 2, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+        EXPECT_EQ(::posix_spawn(&pid_, program.c_str(), &files, nullptr, arguments, env.data()), 0);
+        posix_spawn_file_actions_destroy(&files);
+    }
+    ~Process() { end(SIGKILL); }
+    // How it ended: its exit code, or less than 0 by a signal.
+    int end(int signal) {
+        if (pid_ <= 0) return how_;
+        if (signal) ::kill(pid_, signal);
+        int status = 0;
+        ::waitpid(std::exchange(pid_, 0), &status, 0);
+        return how_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    }
+    bool runs() {
+        int status = 0;
+        if (pid_ <= 0 || ::waitpid(pid_, &status, WNOHANG) == 0) return pid_ > 0;
+        pid_ = 0;
+        how_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+        return false;
+    }
+
+private:
+    pid_t pid_ = 0;
+    int how_ = 0;
+};
+
+// Says the whole list whenever it is asked for it; a watch hears nothing. Or it says nothing at all.
+class SteadyDiscovery {
+public:
+    explicit SteadyDiscovery(std::vector<json> hosts)
+        : text_(json{{"seq", 9}, {"whole", true}, {"hosts", hosts}}.dump()), acceptor_([this](Wire& wire) {
+              for (HttpRequest request; wire.read(request);) {
+                  if (silent || request.target().find("after=") != beast::string_view::npos) {
+                      wire.ended();
+                      return;
+                  }
+                  wire.respond(200, text_);
+              }
+          }) {}
+    std::string at() const { return text_of(acceptor_.at); }
+    std::atomic<bool> silent{false};
+
+private:
+    std::string text_;
+    Acceptor acceptor_;
+};
+
+// On an address of this process's own: what others bind, or connect from, can't have the port meanwhile.
+tcp::endpoint free_port() {
+    asio::io_context io;
+    const auto pid = static_cast<std::uint32_t>(::getpid());
+    const asio::ip::address_v4 own(0x7f400000u + (pid & 0x3fffff));  // 127.64.0.0 to 127.127.255.255
+    return tcp::acceptor(io, {own, 0}).local_endpoint();
+}
+
+// The answer's status, 0 where there is none: the process may be on its way out or not yet there.
+unsigned try_asking(const tcp::endpoint& at, const std::string& text) {
+    try {
+        App app(at);
+        return app.ask(text).result_int();
+    } catch (const boost::system::system_error&) {
+        return 0;
+    }
+}
+
+template <class Done>
+bool until(Done done) {
+    const auto end = std::chrono::steady_clock::now() + kPatience;
+    while (!done()) {
+        if (std::chrono::steady_clock::now() > end) return false;
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+    return true;
+}
+
+const std::string kHealth = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+
+struct Fixture {
+    FakeServer server;
+    SteadyDiscovery discovery{{host("s1", server.at())}};
+    Place place;
+    tcp::endpoint listen = free_port(), admin = free_port();
+    json config;
+    Fixture() {
+        config = a_config(discovery.at(), {});
+        config.erase("known");
+        config["listen"] = text_of(listen);
+        config["cobaltshift"] = {{"admin", {{"listen", text_of(admin)}}},
+                                 {"state", {{"dir", place.state()}, {"lived_ms", 0}}}};
+        place.write(config.dump());
+    }
+    std::unique_ptr<Process> start(std::vector<std::string> more = {}) {
+        auto process = std::make_unique<Process>(place, std::move(more));
+        const bool ready = until([&] { return !process->runs() || try_asking(listen, kHealth) == 200; });
+        EXPECT_TRUE(ready && process->runs()) << place.log();
+        return process;
+    }
+    int attempts() {
+        return Operator(admin).get("/v1/config").at("config").at("settings").at("limits").at("max-attempts");
+    }
+    void wait_for_the_disk() {
+        EXPECT_TRUE(
+            until([&] { return Operator(admin).get("/v1/status").at("state").at("settled") == true; }));
+    }
+};
+
+TEST(Killed, WhileItServesAndChangesItComesBackWithTheOldOrTheNewConfiguration) {
+    Fixture f;
+    std::uint64_t state = 20261201;
+    const auto roll = [&](std::uint64_t n) {
+        state = state * 6364136223846793005u + 1442695040888963407u;
+        return (state >> 33) % n;
+    };
+    std::atomic<bool> stop{false};
+    std::atomic<int> served{0};
+    std::vector<std::thread> clients;
+    for (int c = 0; c < 3; ++c)
+        clients.emplace_back([&] {
+            while (!stop) {
+                served += try_asking(f.listen, App::request("deposit")) == 200;
+                std::this_thread::sleep_for(std::chrono::milliseconds(1));
+            }
+        });
+    int acknowledged = 3, tried = 3, settled = 0;
+    for (int life = 0; life < 40; ++life) {
+        SCOPED_TRACE(life);
+        auto process = f.start();
+        f.wait_for_the_disk();  // that it has lived: else the rule on crash loops would end this
+        const int now = f.attempts();
+        EXPECT_TRUE(now == acknowledged || now == tried)
+            << f.place.log() << now << " is neither " << acknowledged << " nor " << tried;
+        acknowledged = tried = now;
+        json next = f.config;
+        tried = 4 + life;
+        next["settings"]["limits"]["max-attempts"] = tried;
+        if (roll(3) == 0) {  // on the disk for certain
+            Operator(f.admin).post("/v1/config", next);
+            f.wait_for_the_disk();
+            acknowledged = tried;
+            ++settled;
+        } else {  // killed somewhere in between
+            std::thread operators([&] {
+                try {
+                    Operator(f.admin).call("POST", "/v1/config", next.dump());
+                } catch (const boost::system::system_error&) {
+                }
+            });
+            std::this_thread::sleep_for(std::chrono::microseconds(roll(6000)));
+            process->end(SIGKILL);
+            operators.join();
+        }
+        process->end(SIGKILL);
+    }
+    stop = true;
+    for (auto& t : clients) t.join();
+    EXPECT_GT(settled, 0);
+    EXPECT_GT(served, 0);
+    std::map<std::string, int> ran;
+    for (const HttpRequest& r : f.server.seen()) ++ran[std::string(r["X-Correlation-Id"])];
+    for (const auto& [id, n] : ran)
+        EXPECT_EQ(n, 1) << id << ": what was lost with a process is not sent again";
+}
+
+TEST(Killed, ATrialUnderWayIsNotTakenAsGood) {
+    Fixture f;
+    auto process = f.start();
+    process->end(SIGKILL);
+    json next = f.config;
+    next["settings"]["limits"]["max-attempts"] = 7;
+    next["cobaltshift"]["trial"] = {{"bake_ms", 60000}};
+    f.place.write(next.dump());
+    // Accepted as it is at the start: there is nothing to compare it with.
+    process = f.start();
+    EXPECT_EQ(f.attempts(), 7);
+    f.wait_for_the_disk();
+    next["settings"]["limits"]["max-attempts"] = 8;
+    Operator(f.admin).post("/v1/config", next);
+    EXPECT_EQ(Operator(f.admin).get("/v1/config").at("state"), "on trial");
+    f.wait_for_the_disk();
+    process->end(SIGKILL);
+    process = f.start();
+    EXPECT_EQ(f.attempts(), 7);
+    EXPECT_GT(Operator(f.admin).get("/v1/config").at("generation"), 2) << "numbers never come twice";
+}
+
+TEST(Killed, WithAStateItServesBeforeDiscoveryAnswers) {
+    Fixture f;
+    auto process = f.start();
+    EXPECT_EQ(try_asking(f.listen, App::request("listen")), 200u);
+    EXPECT_TRUE(until([&] {
+        f.wait_for_the_disk();
+        for (const auto& file : std::filesystem::directory_iterator(f.place.state()))
+            if (file.path().filename().string().rfind("world-", 0) == 0) return true;
+        return false;
+    }));
+    process->end(SIGKILL);
+    f.discovery.silent = true;
+    process = f.start();
+    EXPECT_EQ(try_asking(f.listen, App::request("listen")), 200u);
+    EXPECT_EQ(Operator(f.admin).get("/v1/status").at("list").at("seq"), 0) << "nobody has told it";
+}
+
+TEST(BadFile, EndsTheStartWithTwoUnlessALastKnownGoodMayStepIn) {
+    Fixture f;
+    auto process = f.start();
+    f.wait_for_the_disk();
+    process->end(SIGKILL);
+    f.place.write("{\"name\":");
+    const std::string where = "COBALTSHIFT_STATE_DIR=" + f.place.state();
+    EXPECT_EQ(Process(f.place, {where}).end(0), 2);
+    EXPECT_NE(f.place.log().find("NODE_CONFIG is not JSON"), std::string::npos);
+    process = f.start({where, "COBALTSHIFT_LAST_KNOWN_GOOD=1"});
+    EXPECT_NE(f.place.log().find("last known good configuration steps in"), std::string::npos);
+    EXPECT_EQ(Operator(f.admin).get("/v1/config").at("source"), "recovery");
+    EXPECT_EQ(try_asking(f.listen, App::request("listen")), 200u);
+    EXPECT_EQ(process->end(SIGTERM), 0);
+}
+
+TEST(OneFolder, IsOneProcesssAndTheOtherServesWithoutState) {
+    Fixture f;
+    auto first = f.start();
+    json other = f.config;
+    const tcp::endpoint at = free_port();
+    other["listen"] = text_of(at);
+    other["cobaltshift"]["admin"]["listen"] = text_of(free_port());
+    f.place.write(other.dump());
+    Process second(f.place, {});
+    ASSERT_TRUE(until([&] { return try_asking(at, kHealth) == 200; }));
+    EXPECT_NE(f.place.log().find("another process has it"), std::string::npos);
+    EXPECT_EQ(try_asking(at, App::request("listen")), 200u);
+    EXPECT_EQ(second.end(SIGTERM), 0);
+    EXPECT_EQ(first->end(SIGTERM), 0);
+}
+
+}  // namespace
+}  // namespace kelplb::net
--- a/tests/net_rig.hpp
+++ b/tests/net_rig.hpp
@@ -260,8 +260,10 @@
 // A sidecar on a thread of its own.
 class Running {
 public:
-    explicit Running(const json& config)
-        : node_(io_, read_config(config)), at(node_.endpoint()), admin(node_.admin_endpoint().value_or(at)) {
+    explicit Running(const json& config) : Running(read_config(config)) {}
+    template <class From>
+    explicit Running(From from)
+        : node_(io_, std::move(from)), at(node_.endpoint()), admin(node_.admin_endpoint().value_or(at)) {
         thread_ = std::thread([this] { io_.run(); });
     }
     ~Running() {
