Generations that may be gone back to outlive the process

Need: after a restart an operator could go back to nothing: the state held only the last known good configuration. Change: the record of the configuration holds the good generations with their numbers; each passes the checks of a live change before it is used, and a start that says what one of them said carries its number as content_of. Fixed fields are this life's. Result: after a SIGKILL a rollback, and one to the first generation, restore behaviour; a record whose history makes no sense gives way to the one before.

--- a/src/net/generations.cpp
+++ b/src/net/generations.cpp
@@ -85,6 +85,12 @@
     return at == kept_.end() ? nullptr : &*at;
 }
 
+std::uint64_t Generations::first_to_say(const std::string& document) const {
+    for (const Entry& e : kept_)
+        if (e.snapshot->config.document == document) return e.content;
+    return 0;
+}
+
 const Generations::Entry* Generations::previous() const {
     if (trial_) return find(trial_->fallback);
     for (auto e = kept_.rbegin(); e != kept_.rend(); ++e)
--- a/src/net/generations.hpp
+++ b/src/net/generations.hpp
@@ -56,6 +56,11 @@
     // Numbers go on from there: a state from before the start named generations too.
     void go_on_from(std::uint64_t generation) { next_ = std::max(next_, generation); }
 
+    // From an earlier life, oldest first, before anything is in force; trials don't outlive theirs.
+    void restore(std::deque<Entry> kept) { kept_ = std::move(kept), forget(); }
+    // The generation that first said this, if it is kept; 0: none did.
+    std::uint64_t first_to_say(const std::string& document) const;
+
     // It is in force from now on. content: 0 for one that says something new.
     void committed(SnapshotPtr snapshot, Source source, std::uint64_t content, const TrialRule& rule,
                    Millis now);
--- a/src/net/keeper.cpp
+++ b/src/net/keeper.cpp
@@ -68,6 +68,11 @@
         j.at("next").get<std::uint64_t>();
         j.at("file").get<std::string>();
         j.at("on_trial").get<bool>();
+        for (const json& e : j.at("kept")) {
+            read_document(e.at("config"), "0", nullptr);
+            for (const char* number : {"generation", "content_of"}) e.at(number).get<std::uint64_t>();
+            e.at("at_ms").get<double>();
+        }
     } catch (const std::exception& error) {
         return error.what();
     }
@@ -158,6 +163,13 @@
         r.next = j.at("next");
         r.file = j.at("file");
         r.trial_lost = j.at("on_trial");
+        for (const json& e : j.at("kept")) {
+            auto snapshot = std::make_shared<Snapshot>();
+            snapshot->generation = e.at("generation");
+            snapshot->config = read_document(e.at("config"), "0", nullptr);
+            r.kept.push_back({std::move(snapshot), e.at("content_of"), Generations::Source::recovery,
+                              Generations::State::good, e.at("at_ms"), "from an earlier life"});
+        }
     }
     if (const auto record = store_->load(kWorld, sense_of_world)) {
         const json j = json::parse(record->payload);
@@ -189,6 +201,13 @@
     j["file"] = file;
     j["next"] = generations.next();
     j["on_trial"] = trial.has_value();
+    j["kept"] = json::array();
+    for (const Generations::Entry& e : generations.kept())
+        if (e.state == Generations::State::good)
+            j["kept"].push_back({{"generation", e.number()},
+                                 {"content_of", e.content},
+                                 {"at_ms", e.at},
+                                 {"config", json::parse(e.snapshot->config.document)}});
     std::string text = j.dump();
     if (text == last_config_) return;
     last_config_ = text;
--- a/src/net/keeper.hpp
+++ b/src/net/keeper.hpp
@@ -30,10 +30,11 @@
 constexpr Millis kOldestPace = 60e3;
 
 struct Recovered {
-    std::optional<nlohmann::json> good;  // the last known good configuration, as a generation's document
-    std::string file;                    // what the file said when it was last accepted
-    std::uint64_t next = 1;              // no generation has had this number or a higher one
-    bool trial_lost = false;             // one was on trial when that life ended; it is not the good one
+    std::optional<nlohmann::json> good;   // the last known good configuration, as a generation's document
+    std::string file;                     // what the file said when it was last accepted
+    std::deque<Generations::Entry> kept;  // generations that may be gone back to
+    std::uint64_t next = 1;               // no generation has had this number or a higher one
+    bool trial_lost = false;              // one was on trial when that life ended; it is not the good one
     std::optional<HostList> list;
     std::string discovery;             // that told it
     std::vector<LearntServer> learnt;  // aged
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -126,7 +126,9 @@
       trial_timer_(io),
       keep_timer_(io) {
     const Config& config = sidecar_.snapshot()->config;
-    generations_.committed(sidecar_.snapshot(), start.source, 0, {}, clock_.now());
+    generations_.restore(std::move(start.recovered.kept));
+    generations_.committed(sidecar_.snapshot(), start.source, generations_.first_to_say(config.document), {},
+                           clock_.now());
     if (peers_) {
         peers_->use(config.peers, config.peers_all);
         peers_->listen();
@@ -211,6 +213,19 @@
     return p;
 }
 
+// What an earlier life kept was not read with this one's fixed fields.
+Node::Prepared Node::prepare_again(const Generations::Entry& entry) {
+    const Config& running = sidecar_.snapshot()->config;
+    nlohmann::json document = nlohmann::json::parse(entry.snapshot->config.document);
+    const nlohmann::json now = nlohmann::json::parse(running.document);
+    for (const char* field : {"name", "listen"}) document[field] = now.at(field);
+    for (const char* field : {"admin", "state"}) {
+        if (document.contains("cobaltshift")) document["cobaltshift"].erase(field);
+    }
+    keep_fixed(document, now);
+    return prepare(read_candidate(document, running, false));
+}
+
 // Nothing here waits or can be refused: from the first line to the last nothing else happens in this process.
 void Node::commit(Prepared p, Generations::Source source, std::uint64_t content, const TrialRule& rule) {
     const Millis start = clock_.now();
@@ -309,7 +324,7 @@
     if (target->number() == now) return {Change::Result::unchanged, now, {}, {}};
     const std::uint64_t content = target->content;
     try {
-        commit(prepare(target->snapshot->config), Generations::Source::rollback, content, {});
+        commit(prepare_again(*target), Generations::Source::rollback, content, {});
     } catch (const ConfigError& error) {
         ++counts_.refused;
         return refusal(now, error.complaints);
@@ -360,7 +375,7 @@
                      " is taken back: " + back->why);
             try {
                 const std::uint64_t content = back->to->content;
-                commit(prepare(back->to->snapshot->config), Generations::Source::trial, content, {});
+                commit(prepare_again(*back->to), Generations::Source::trial, content, {});
                 ++counts_.taken_back;
                 return;
             } catch (const std::exception& error) {  // tried again at the next look
--- a/src/net/node.hpp
+++ b/src/net/node.hpp
@@ -79,6 +79,7 @@
     struct Prepared;
     std::shared_ptr<Snapshot> snapshot_of(Config config, std::uint64_t generation);
     Prepared prepare(Config config);
+    Prepared prepare_again(const Generations::Entry& entry);
     void commit(Prepared prepared, Generations::Source source, std::uint64_t content, const TrialRule& rule);
     std::shared_ptr<Peers> open_peers(const Config& config);
     void keep_config();
--- a/tests/crash_test.cpp
+++ b/tests/crash_test.cpp
@@ -232,6 +232,27 @@
     EXPECT_GT(Operator(f.admin).get("/v1/config").at("generation"), 2) << "numbers never come twice";
 }
 
+TEST(Killed, WhatMayBeGoneBackToIsStillThere) {
+    Fixture f;
+    auto process = f.start();
+    json next = f.config;
+    for (const int attempts : {5, 6}) {
+        next["settings"]["limits"]["max-attempts"] = attempts;
+        Operator(f.admin).post("/v1/config", next);
+    }
+    f.wait_for_the_disk();
+    process->end(SIGKILL);
+    process = f.start();
+    Operator ops(f.admin);
+    EXPECT_EQ(f.attempts(), 6);
+    EXPECT_EQ(ops.get("/v1/config").at("content_of"), 3) << "it says what the third said";
+    EXPECT_EQ(ops.post("/v1/config/rollback").at("result"), "applied");
+    EXPECT_EQ(f.attempts(), 5);
+    EXPECT_EQ(ops.post("/v1/config/rollback?to=1").at("result"), "applied");
+    EXPECT_EQ(f.attempts(), 3);
+    EXPECT_EQ(try_asking(f.listen, App::request("listen")), 200u);
+}
+
 TEST(Killed, WithAStateItServesBeforeDiscoveryAnswers) {
     Fixture f;
     auto process = f.start();
--- a/tests/keeper_test.cpp
+++ b/tests/keeper_test.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 using store::SimFolder;
+using State = Generations::State;
 
 const Stamp kThen{1e12, 5e6, "boot-a"};
 Stamp later(Millis by, const std::string& boot = "boot-a") {
@@ -121,6 +122,9 @@
     EXPECT_TRUE(r.trial_lost);
     EXPECT_EQ(r.good->dump(), document(base()));
     EXPECT_EQ(r.next, 3u) << "numbers go on";
+    ASSERT_EQ(r.kept.size(), 1u);
+    EXPECT_EQ(r.kept[0].number(), 1u);
+    EXPECT_EQ(r.kept[0].state, State::good);
 }
 
 TEST(Verified, ARecordThatMakesNoSenseGivesWayToTheOneBefore) {
@@ -130,7 +134,13 @@
     disk.live([&](Keeper& k) { k.keep_config(g, "f"); });
     const std::vector<std::string> nonsense = {
         "not JSON", "{}", R"({"good":{"name":"n0"},"file":"f","next":9,"on_trial":false})",
-        R"({"good":[],"file":"f","next":9,"on_trial":false})"};
+        R"({"good":[],"file":"f","next":9,"on_trial":false,"kept":[]})",
+        json{{"good", json::parse(document(base()))},
+             {"file", ""},
+             {"next", 9},
+             {"on_trial", false},
+             {"kept", {{{"generation", 1}, {"content_of", 1}, {"at_ms", 0}, {"config", {{"name", 5}}}}}}}
+            .dump()};
     for (const std::string& payload : nonsense) {
         store::Store store(*disk.folder, [](const std::string&) {});
         ASSERT_EQ(store.save("config", payload), 0);
