--- a/bench/reload.py
+++ b/bench/reload.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Does a change of the configuration cost a request, and how long does the loop stand still for it?
 
-    bench/reload.py [--program build/cobaltshift] [--runs 10] [--seconds 3] [--every-ms 20] [--rate 400]
+    bench/reload.py [--program build/cobaltshift] [--runs 10] [--seconds 3] [--every-ms 20] [--rate 400] [--state]
 
 Each run: the real program with 300 peers and 200 listed servers serves clients for a while without changes, then as
 long with a change every 20 ms, by turns with SIGHUP and over the operators' endpoint. Every change swaps the classes'
@@ -13,6 +13,7 @@
 import copy
 import json
 import random
+import tempfile
 
 import fleet
 
@@ -56,6 +57,9 @@
     await discovery.start()
     await elsewhere.start()
     one = fleet.a_config(discovery.port, hosts)
+    folder = tempfile.TemporaryDirectory(prefix="cobaltshift-state-")
+    if args.state:
+        one["cobaltshift"]["state"] = {"dir": folder.name}
     other = other_of(one, elsewhere.port)
     sidecar = fleet.Sidecar(args.program, one)
     await sidecar.start()
@@ -81,6 +85,7 @@
             })
     finally:
         await sidecar.stop()
+        folder.cleanup()
     return rows
 
 
@@ -90,6 +95,7 @@
     parser.add_argument("--runs", type=int, default=10)
     parser.add_argument("--seconds", type=float, default=3)
     parser.add_argument("--every-ms", type=float, default=20)
+    parser.add_argument("--state", action="store_true", help="with a state folder")
     parser.add_argument("--rate", type=float, default=400)
     args = parser.parse_args()
     rows = []
--- a/src/net/keeper.cpp
+++ b/src/net/keeper.cpp
@@ -61,15 +61,17 @@
     return read_config(document);
 }
 
+json text_at(const json& j, const char* field) { return parse_config(j.at(field).get<std::string>(), field); }
+
 std::string sense_of_config(const store::Record& record) {
     try {
         const json j = json::parse(record.payload);
-        read_document(j.at("good"), "0", nullptr);  // the same checks as for a live change
+        read_document(text_at(j, "good"), "0", nullptr);  // the same checks as for a live change
         j.at("next").get<std::uint64_t>();
         j.at("file").get<std::string>();
         j.at("on_trial").get<bool>();
         for (const json& e : j.at("kept")) {
-            read_document(e.at("config"), "0", nullptr);
+            read_document(text_at(e, "config"), "0", nullptr);
             for (const char* number : {"generation", "content_of"}) e.at(number).get<std::uint64_t>();
             e.at("at_ms").get<double>();
         }
@@ -159,14 +161,14 @@
     }
     if (const auto record = store_->load(kConfig, sense_of_config)) {
         const json j = json::parse(record->payload);
-        r.good = j.at("good");
+        r.good = text_at(j, "good");
         r.next = j.at("next");
         r.file = j.at("file");
         r.trial_lost = j.at("on_trial");
         for (const json& e : j.at("kept")) {
             auto snapshot = std::make_shared<Snapshot>();
             snapshot->generation = e.at("generation");
-            snapshot->config = read_document(e.at("config"), "0", nullptr);
+            snapshot->config = read_document(text_at(e, "config"), "0", nullptr);
             r.kept.push_back({std::move(snapshot), e.at("content_of"), Generations::Source::recovery,
                               Generations::State::good, e.at("at_ms"), "from an earlier life"});
         }
@@ -197,7 +199,7 @@
     const Generations::Entry* good = trial ? generations.find(trial->fallback) : &generations.current();
     if (!good) return;
     json j;
-    j["good"] = json::parse(good->snapshot->config.document);
+    j["good"] = good->snapshot->config.document;  // as text: parsing it again would cost the loop its time
     j["file"] = file;
     j["next"] = generations.next();
     j["on_trial"] = trial.has_value();
@@ -207,7 +209,7 @@
             j["kept"].push_back({{"generation", e.number()},
                                  {"content_of", e.content},
                                  {"at_ms", e.at},
-                                 {"config", json::parse(e.snapshot->config.document)}});
+                                 {"config", e.snapshot->config.document}});
     std::string text = j.dump();
     if (text == last_config_) return;
     last_config_ = text;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -245,12 +245,12 @@
     discovery_.move_to(config.discovery);
     if (!config.settings.list_on_request) discovery_.watch(true);
     generations_.committed(p.snapshot, source, content, rule, start);
-    counts_.last_pause = clock_.now() - start;
-    counts_.longest_pause = std::max(counts_.longest_pause, counts_.last_pause);
     log_line("generation " + std::to_string(p.snapshot->generation) + " of the configuration is in force (" +
              word(source) + ")");
     keep_config();
     watch_trial();
+    counts_.last_pause = clock_.now() - start;
+    counts_.longest_pause = std::max(counts_.longest_pause, counts_.last_pause);
 }
 
 void Node::keep_config() {
