--- /dev/null
+++ b/src/lab/lab.cpp
@@ -0,0 +1,377 @@
+#include "lab/lab.hpp"
+
+#include <signal.h>
+#include <sys/resource.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <random>
+
+#include "lab/clients.hpp"
+#include "lab/fleet.hpp"
+#include "lab/record.hpp"
+#include "lab/relay.hpp"
+#include "lab/report.hpp"
+#include "lab/standins.hpp"
+
+namespace kelplb::lab {
+
+namespace {
+
+using nlohmann::json;
+using Clock = std::chrono::steady_clock;
+using boost::system::error_code;
+using namespace std::chrono_literals;
+
+constexpr auto kStopGrace = 6s;  // SIGTERM to SIGKILL at the end: the sidecar finishes what it holds first
+
+std::string loopback(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
+
+Clock::duration seconds(double s) {
+    return std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(s));
+}
+
+asio::awaitable<void> sleep_until(Clock::time_point at) {
+    asio::steady_timer timer(co_await asio::this_coro::executor, at);
+    error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+// The descriptors a fleet's worth of connections needs: as many as the hard limit allows.
+void raise_descriptor_limit() {
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < limit.rlim_max) {
+        limit.rlim_cur = limit.rlim_max;
+        ::setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
+// `share` of `count`, at least one where share > 0, drawn by `random`.
+std::vector<int> pick(int count, double share, std::mt19937_64& random) {
+    std::vector<int> all(static_cast<std::size_t>(count));
+    std::iota(all.begin(), all.end(), 0);
+    std::shuffle(all.begin(), all.end(), random);
+    const auto n =
+        share <= 0 ? 0 : std::max<std::size_t>(1, static_cast<std::size_t>(std::lround(share * count)));
+    all.resize(std::min(all.size(), n));
+    std::sort(all.begin(), all.end());
+    return all;
+}
+
+const char* kind_name(Fault::Kind kind) {
+    switch (kind) {
+        case Fault::Kind::kill:
+            return "kill";
+        case Fault::Kind::stop:
+            return "stop";
+        case Fault::Kind::restart:
+            return "restart";
+        case Fault::Kind::servers:
+            return "servers";
+        case Fault::Kind::zone:
+            return "zone";
+        case Fault::Kind::discovery:
+            return "discovery";
+        case Fault::Kind::partition:
+            return "partition";
+        case Fault::Kind::loss:
+            return "loss";
+    }
+    return "?";
+}
+
+class Run {
+public:
+    Run(const Experiment& e, const RunOptions& options, std::shared_ptr<spdlog::logger> log)
+        : e_(e),
+          options_(options),
+          log_(std::move(log)),
+          recorder_(e.servers, e.sidecars, e.seconds),
+          discovery_(io_, recorder_),
+          relay_(io_, e, recorder_),
+          children_(io_, SIGCHLD) {}
+
+    json go() {
+        raise_descriptor_limit();
+        std::mt19937_64 deal(e_.seed);
+        std::uniform_real_distribution<double> spread(1 - e_.speed_spread, 1 + e_.speed_spread);
+        for (int i = 0; i < e_.servers; ++i) {
+            servers_.push_back(std::make_shared<GuideServer>(io_, i, spread(deal), e_, recorder_));
+            servers_.back()->start();
+        }
+        discovery_.start();
+        discovery_.publish(hosts());
+        std::vector<SidecarSpec> specs;
+        std::vector<std::uint16_t> listens;
+        for (int i = 0; i < e_.sidecars; ++i) {
+            SidecarSpec spec{i, e_.zones[static_cast<std::size_t>(i) % e_.zones.size()], free_port(false),
+                             free_port(true)};
+            relay_.bind_peer(i, spec.peer_listen);
+            listens.push_back(spec.listen);
+            specs.push_back(spec);
+        }
+        clients_ = std::make_unique<Clients>(io_, e_, recorder_, listens);
+        fleet_ =
+            std::make_unique<Fleet>(options_.program, options_.out / "sidecars", std::move(specs),
+                                    [this](const SidecarSpec& s, int start) { return config(s, start); });
+        event({{"event", "setup"},
+               {"servers", e_.servers},
+               {"sidecars", e_.sidecars},
+               {"discovery", loopback(discovery_.port())}});
+        for (int i = 0; i < e_.sidecars; ++i)
+            if (!fleet_->start(i)) throw std::runtime_error("could not start " + options_.program);
+        watch_children();
+        asio::co_spawn(io_, main(), asio::detached);
+        io_.run();
+        fleet_->stop_all(kStopGrace);
+        const auto& counts = fleet_->counts();
+        json extra{{"processes",
+                    {{"started", counts.started},
+                     {"ended_with_0", counts.exited_zero},
+                     {"ended_otherwise", counts.exited_other},
+                     {"killed", counts.killed},
+                     {"crashed", counts.crashed}}},
+                   {"ready", {{"sidecars", ready_}, {"after_s", ready_after_s_}}},
+                   {"datagrams_oversize", relay_.oversize()},
+                   {"faults", faults_done_}};
+        json summary = write_report(options_.out, e_, recorder_, extra);
+        event({{"event", "report"}, {"folder", options_.out.string()}});
+        return summary;
+    }
+
+private:
+    void event(const json& fields) { log_->info(fields.dump()); }
+
+    json hosts() const {
+        json list = json::array();
+        for (const auto& server : servers_) {
+            char name[16];
+            std::snprintf(name, sizeof name, "s-%03d", server->index());
+            list.push_back({{"host", name},
+                            {"dial", loopback(server->port())},
+                            {"site", e_.zones[static_cast<std::size_t>(server->index()) % e_.zones.size()]},
+                            {"class", "m"},
+                            {"block", 0},
+                            {"health", "SERVING"},
+                            {"share", 1.0},
+                            {"born_ms", born_ms_[static_cast<std::size_t>(server->index())]}});
+        }
+        return list;
+    }
+
+    json config(const SidecarSpec& s, int start) const {
+        json peers = json::array();
+        for (int i = 0; i < e_.sidecars; ++i) peers.push_back(loopback(relay_.port(i)));
+        char seed[17];
+        std::snprintf(seed, sizeof seed, "%016llx",
+                      static_cast<unsigned long long>(e_.seed * 0x100000001b3ULL +
+                                                      static_cast<unsigned>(s.index) * 131 +
+                                                      static_cast<unsigned>(start)));
+        return {
+            {"name", std::to_string(s.index).insert(0, 1, 'n')},
+            {"listen", loopback(s.listen)},
+            {"discovery", loopback(discovery_.port())},
+            {"seed", seed},
+            {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
+            {"peer_listen", loopback(s.peer_listen)},
+            {"peers", peers},
+            {"peers_all", loopback(relay_.all_port())},
+            {"known", {{"seq", discovery_.seq()}, {"whole", true}, {"hosts", discovery_.hosts()}}},
+            {"settings",
+             {{"classes", json::array({{{"name", "listen"},
+                                        {"effect", "repeatable"},
+                                        {"on-time-ms", e_.on_time_ms},
+                                        {"give-up-ms", e_.time_left_ms},
+                                        {"credit", 1}}})},
+              {"siblings", e_.sidecars},
+              {"my-number", s.index},
+              {"my-zone", s.zone},
+              {"azs", e_.zones},
+              {"limits",
+               {{"max-attempts", 3},
+                {"may-cancel", true},
+                {"may-probe", true},
+                {"may-tell", true},
+                {"connect-timeout-ms", 250},
+                {"idle-close-ms", e_.idle_close_ms},
+                {"max-retry-after-ms", 2000}}},
+              {"rules", {{"cold-from", e_.cold_from}, {"fall-multiple", 3}, {"warm-within-ms", e_.warm_ms}}},
+              {"fees", {{"cross-zone", 0.01}, {"probe", 0.01}}}}}};
+    }
+
+    void watch_children() {
+        children_.async_wait([this](error_code ec, int) {
+            if (ec) return;
+            fleet_->reap();
+            watch_children();
+        });
+    }
+
+    asio::awaitable<void> main() {
+        const Clock::time_point began = Clock::now();
+        const Clock::time_point give_up = began + seconds(e_.ready_s);
+        std::vector<char> ready(static_cast<std::size_t>(e_.sidecars), 0);
+        while (ready_ < e_.sidecars && Clock::now() < give_up) {
+            for (int i = 0; i < e_.sidecars; ++i)
+                if (!ready[static_cast<std::size_t>(i)] && co_await clients_->healthy(i)) {
+                    ready[static_cast<std::size_t>(i)] = 1;
+                    ++ready_;
+                }
+            if (ready_ < e_.sidecars) co_await sleep_until(Clock::now() + 100ms);
+        }
+        ready_after_s_ = std::chrono::duration<double>(Clock::now() - began).count();
+        event({{"event", "ready"}, {"sidecars", ready_}, {"after_s", ready_after_s_}});
+        const Clock::time_point start = Clock::now();
+        const Clock::time_point end = start + seconds(e_.seconds);
+        recorder_.start(start);
+        clients_->run(end);
+        for (std::size_t i = 0; i < e_.faults.size(); ++i)
+            asio::co_spawn(io_, fault(e_.faults[i], i, start), asio::detached);
+        co_await sleep_until(end);
+        // What is still out ends by its deadline; then the fleet is told to stop.
+        const Clock::time_point drained = end + seconds(e_.time_left_ms / 1000 + 1);
+        while (clients_->in_flight() > 0 && Clock::now() < drained) co_await sleep_until(Clock::now() + 20ms);
+        event({{"event", "load_over"}, {"in_flight", clients_->in_flight()}});
+        io_.stop();
+    }
+
+    asio::awaitable<void> fault(const Fault& f, std::size_t number, Clock::time_point start) {
+        std::mt19937_64 random(e_.seed * 0x2545F4914F6CDD1DULL + number);
+        co_await sleep_until(start + seconds(f.at_s));
+        const auto until = [&] { return Clock::now() + seconds(f.for_s); };
+        json said{{"event", "fault"}, {"kind", kind_name(f.kind)}, {"number", number}};
+        switch (f.kind) {
+            case Fault::Kind::kill:
+            case Fault::Kind::stop: {
+                const bool kill = f.kind == Fault::Kind::kill;
+                const std::vector<int> chosen = pick(e_.sidecars, f.share, random);
+                for (const int i : chosen) {
+                    if (kill) fleet_->expect_end(i);
+                    fleet_->signal(i, kill ? SIGKILL : SIGSTOP);
+                }
+                said["sidecars"] = chosen;
+                event(said);
+                co_await sleep_until(until());
+                for (const int i : chosen) {
+                    if (kill) {
+                        fleet_->reap();
+                        clients_->forget_connections(i);
+                        if (!fleet_->running(i)) fleet_->start(i);
+                    } else {
+                        fleet_->signal(i, SIGCONT);
+                    }
+                }
+                break;
+            }
+            case Fault::Kind::restart: {
+                event(said);
+                for (int tenth = 0; tenth < 10; ++tenth) {
+                    std::vector<int> chosen;
+                    for (int i = tenth; i < e_.sidecars; i += 10) chosen.push_back(i);
+                    for (const int i : chosen) {
+                        fleet_->expect_end(i);
+                        fleet_->signal(i, SIGTERM);
+                    }
+                    const Clock::time_point latest = Clock::now() + kStopGrace;
+                    for (;;) {
+                        fleet_->reap();
+                        const bool any = std::any_of(chosen.begin(), chosen.end(),
+                                                     [&](int i) { return fleet_->running(i); });
+                        if (!any || Clock::now() > latest) break;
+                        co_await sleep_until(Clock::now() + 20ms);
+                    }
+                    for (const int i : chosen) {
+                        if (fleet_->running(i)) fleet_->signal(i, SIGKILL);
+                    }
+                    fleet_->reap();
+                    for (const int i : chosen) {
+                        clients_->forget_connections(i);
+                        if (!fleet_->running(i)) fleet_->start(i);
+                    }
+                    co_await sleep_until(until());
+                }
+                break;
+            }
+            case Fault::Kind::servers: {
+                const std::vector<int> chosen = pick(e_.servers, f.share, random);
+                for (const int i : chosen) servers_[static_cast<std::size_t>(i)]->set_mode(f.mode);
+                said["servers"] = chosen;
+                event(said);
+                if (f.for_s <= 0) break;
+                co_await sleep_until(until());
+                for (const int i : chosen) servers_[static_cast<std::size_t>(i)]->set_mode(ServerMode::ok);
+                break;
+            }
+            case Fault::Kind::zone: {
+                std::vector<int> chosen;
+                for (const auto& server : servers_)
+                    if (e_.zones[static_cast<std::size_t>(server->index()) % e_.zones.size()] == f.zone) {
+                        server->stop();
+                        chosen.push_back(server->index());
+                    }
+                said["servers"] = chosen;
+                event(said);
+                co_await sleep_until(until());
+                const auto now_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                                        std::chrono::system_clock::now().time_since_epoch())
+                                        .count();
+                for (const int i : chosen) {
+                    servers_[static_cast<std::size_t>(i)]->start();
+                    born_ms_[static_cast<std::size_t>(i)] = now_ms;
+                }
+                discovery_.publish(hosts());  // back cold, with their new start told
+                break;
+            }
+            case Fault::Kind::discovery:
+                discovery_.set_down(true);
+                event(said);
+                co_await sleep_until(until());
+                discovery_.set_down(false);
+                break;
+            case Fault::Kind::partition: {
+                const std::vector<int> chosen = pick(e_.sidecars, f.share, random);
+                relay_.cut(chosen, f.inbound, f.outbound);
+                said["sidecars"] = chosen;
+                event(said);
+                co_await sleep_until(until());
+                relay_.heal();
+                break;
+            }
+            case Fault::Kind::loss: {
+                const double before = relay_.loss();
+                relay_.set_loss(f.probability);
+                event(said);
+                co_await sleep_until(until());
+                relay_.set_loss(before);
+                break;
+            }
+        }
+        ++faults_done_;
+        event({{"event", "fault_over"}, {"kind", kind_name(f.kind)}, {"number", number}});
+    }
+
+    const Experiment& e_;
+    const RunOptions& options_;
+    std::shared_ptr<spdlog::logger> log_;
+    asio::io_context io_;
+    Recorder recorder_;
+    Discovery discovery_;
+    Relay relay_;
+    asio::signal_set children_;
+    std::vector<std::shared_ptr<GuideServer>> servers_;
+    std::vector<std::int64_t> born_ms_ = std::vector<std::int64_t>(static_cast<std::size_t>(e_.servers), 0);
+    std::unique_ptr<Clients> clients_;
+    std::unique_ptr<Fleet> fleet_;
+    int ready_ = 0;
+    double ready_after_s_ = 0;
+    int faults_done_ = 0;
+};
+
+}  // namespace
+
+json run_experiment(const Experiment& experiment, const RunOptions& options,
+                    std::shared_ptr<spdlog::logger> log) {
+    Run run(experiment, options, std::move(log));
+    return run.go();
+}
+
+}  // namespace kelplb::lab
