--- a/src/lab/clients.cpp
+++ b/src/lab/clients.cpp
@@ -15,16 +15,15 @@
 constexpr auto kAfterDeadline = 500ms;  // an answer this late still ends the request; later it is lost
 constexpr std::uint64_t kMaxBody = 64 * 1024;
 
-tcp::endpoint loopback(std::uint16_t port) { return {asio::ip::address_v4::loopback(), port}; }
 }  // namespace
 
 Clients::Clients(asio::io_context& io, const Experiment& experiment, Recorder& recorder,
-                 std::vector<std::uint16_t> ports)
-    : io_(io), experiment_(experiment), recorder_(recorder), own_(ports.size()) {
+                 std::vector<tcp::endpoint> sidecars)
+    : io_(io), experiment_(experiment), recorder_(recorder), own_(sidecars.size()) {
     std::mt19937_64 deal(experiment.seed * 31 + 7);
     std::uniform_real_distribution<double> unit(0, 1);
     for (std::size_t i = 0; i < own_.size(); ++i) {
-        own_[i].port = ports[i];
+        own_[i].at = sidecars[i];
         own_[i].rate =
             experiment.rate * (unit(deal) < experiment.heavy_share ? experiment.heavy_multiple : 1);
         own_[i].random.seed(experiment.seed * 1000003 + i);
@@ -94,7 +93,7 @@
             stream = std::make_unique<beast::tcp_stream>(io_);
             ++own.open;
             stream->expires_after(kConnectTimeout);
-            co_await stream->async_connect(loopback(own.port), asio::redirect_error(asio::use_awaitable, ec));
+            co_await stream->async_connect(own.at, asio::redirect_error(asio::use_awaitable, ec));
             if (ec) {
                 --own.open;
                 co_return Try::unreachable;
@@ -139,7 +138,7 @@
     beast::tcp_stream stream(io_);
     error_code ec;
     stream.expires_after(500ms);
-    co_await stream.async_connect(loopback(own_[static_cast<std::size_t>(i)].port),
+    co_await stream.async_connect(own_[static_cast<std::size_t>(i)].at,
                                   asio::redirect_error(asio::use_awaitable, ec));
     if (ec) co_return false;
     http::request<http::empty_body> request{http::verb::get, "/healthz", 11};
--- a/src/lab/clients.hpp
+++ b/src/lab/clients.hpp
@@ -21,7 +21,7 @@
 public:
     using Clock = std::chrono::steady_clock;
     Clients(asio::io_context& io, const Experiment& experiment, Recorder& recorder,
-            std::vector<std::uint16_t> ports);
+            std::vector<asio::ip::tcp::endpoint> sidecars);
 
     // Sends until `until`, then ends; every request still out is answered or given up by its deadline.
     void run(Clock::time_point until);
@@ -32,7 +32,7 @@
 
 private:
     struct Own {
-        std::uint16_t port = 0;
+        asio::ip::tcp::endpoint at;
         double rate = 0;
         std::vector<std::unique_ptr<beast::tcp_stream>> idle;
         int open = 0;
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -24,12 +24,19 @@
 std::string home(int sidecar) { return std::to_string(sidecar).insert(0, 1, 'n'); }
 }  // namespace
 
-std::uint16_t free_port(bool udp) {
+std::string sidecar_address(int i) {
+    return "127.0." + std::to_string(1 + i / 250) + "." + std::to_string(1 + i % 250);
+}
+
+std::uint16_t free_port(const std::string& address, bool udp) {
     const int fd = ::socket(AF_INET, udp ? SOCK_DGRAM : SOCK_STREAM, 0);
     if (fd < 0) throw std::runtime_error("no socket for a port");
     sockaddr_in at{};
     at.sin_family = AF_INET;
-    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (::inet_pton(AF_INET, address.c_str(), &at.sin_addr) != 1) {
+        ::close(fd);
+        throw std::runtime_error("not an IPv4 address: " + address);
+    }
     socklen_t length = sizeof at;
     if (::bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 ||
         ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &length) != 0) {
--- a/src/lab/fleet.hpp
+++ b/src/lab/fleet.hpp
@@ -17,6 +17,8 @@
 struct SidecarSpec {
     int index = 0;
     std::string zone;
+    std::string
+        address;  // a loopback address of its own, so that no one else's ephemeral port takes its ports
     std::uint16_t listen = 0, peer_listen = 0;
 };
 
@@ -64,7 +66,10 @@
     Counts counts_;
 };
 
-// A TCP or UDP port on 127.0.0.1 that the kernel has just handed out; the sidecar is told it before it binds.
-std::uint16_t free_port(bool udp);
+// A TCP or UDP port on `address` (dotted IPv4) that the kernel has just handed out; the sidecar is told it
+// before it binds.
+std::uint16_t free_port(const std::string& address, bool udp);
+// The loopback address of sidecar `i`: 127.0.1.1 and on, 250 a block, clear of 127.0.0.1's.
+std::string sidecar_address(int i);
 
 }  // namespace kelplb::lab
--- a/src/lab/lab.cpp
+++ b/src/lab/lab.cpp
@@ -96,17 +96,19 @@
         std::uniform_real_distribution<double> spread(1 - e_.speed_spread, 1 + e_.speed_spread);
         for (int i = 0; i < e_.servers; ++i) {
             servers_.push_back(std::make_shared<GuideServer>(io_, i, spread(deal), e_, recorder_));
+            recorder_.server_speed(i, servers_.back()->speed());
             servers_.back()->start();
         }
         discovery_.start();
         discovery_.publish(hosts());
         std::vector<SidecarSpec> specs;
-        std::vector<std::uint16_t> listens;
+        std::vector<asio::ip::tcp::endpoint> listens;
         for (int i = 0; i < e_.sidecars; ++i) {
-            SidecarSpec spec{i, e_.zones[static_cast<std::size_t>(i) % e_.zones.size()], free_port(false),
-                             free_port(true)};
-            relay_.bind_peer(i, spec.peer_listen);
-            listens.push_back(spec.listen);
+            const std::string address = sidecar_address(i);
+            SidecarSpec spec{i, e_.zones[static_cast<std::size_t>(i) % e_.zones.size()], address,
+                             free_port(address, false), free_port(address, true)};
+            relay_.bind_peer(i, {asio::ip::make_address_v4(address), spec.peer_listen});
+            listens.push_back({asio::ip::make_address_v4(address), spec.listen});
             specs.push_back(spec);
         }
         clients_ = std::make_unique<Clients>(io_, e_, recorder_, listens);
@@ -168,11 +170,11 @@
                                                       static_cast<unsigned>(start)));
         return {
             {"name", std::to_string(s.index).insert(0, 1, 'n')},
-            {"listen", loopback(s.listen)},
+            {"listen", s.address + ":" + std::to_string(s.listen)},
             {"discovery", loopback(discovery_.port())},
             {"seed", seed},
             {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
-            {"peer_listen", loopback(s.peer_listen)},
+            {"peer_listen", s.address + ":" + std::to_string(s.peer_listen)},
             {"peers", peers},
             {"peers_all", loopback(relay_.all_port())},
             {"known", {{"seq", discovery_.seq()}, {"whole", true}, {"hosts", discovery_.hosts()}}},
--- a/src/lab/record.hpp
+++ b/src/lab/record.hpp
@@ -28,6 +28,7 @@
 
     void server_request(int server, int sidecar);
     void server_connection(int server);
+    void server_speed(int server, double speed) { servers_[static_cast<std::size_t>(server)].speed = speed; }
     void server_live(int server, bool live);  // a server that is down or faulty is no idle one
     void server_cold(int server);             // started again: first requests of each sidecar are counted
     void outcome(int sidecar, Outcome outcome, double latency_ms);
@@ -38,6 +39,7 @@
         std::vector<std::uint32_t> requests, connections, first_senders;  // per second
         std::vector<std::uint8_t> live;                                   // per second: 1 if live throughout
         std::vector<std::int32_t> last_sender_second;                     // per sidecar, -1: never
+        double speed = 1;  // its capacity against a server of speed 1
         bool live_now = true;
         bool cold = false;
         std::vector<std::uint8_t> sent_since_cold;  // per sidecar
--- a/src/lab/relay.cpp
+++ b/src/lab/relay.cpp
@@ -14,7 +14,7 @@
     : io_(io),
       experiment_(experiment),
       recorder_(recorder),
-      peer_ports_(static_cast<std::size_t>(experiment.sidecars), 0),
+      peers_(static_cast<std::size_t>(experiment.sidecars)),
       cut_in_(static_cast<std::size_t>(experiment.sidecars), 0),
       cut_out_(static_cast<std::size_t>(experiment.sidecars), 0),
       loss_(experiment.relay_loss),
@@ -28,10 +28,10 @@
     asio::co_spawn(io, receive(-1), asio::detached);
 }
 
-void Relay::bind_peer(int sidecar, std::uint16_t peer_listen) {
-    by_port_.erase(peer_ports_[static_cast<std::size_t>(sidecar)]);
-    peer_ports_[static_cast<std::size_t>(sidecar)] = peer_listen;
-    by_port_[peer_listen] = sidecar;
+void Relay::bind_peer(int sidecar, udp::endpoint peer_listen) {
+    by_endpoint_.erase(peers_[static_cast<std::size_t>(sidecar)]);
+    peers_[static_cast<std::size_t>(sidecar)] = peer_listen;
+    by_endpoint_[peer_listen] = sidecar;
 }
 
 void Relay::cut(const std::vector<int>& sidecars, bool inbound, bool outbound) {
@@ -56,8 +56,8 @@
             asio::buffer(buffer), from, asio::redirect_error(asio::use_awaitable, ec));
         if (ec == asio::error::operation_aborted) co_return;
         if (ec) continue;
-        const auto sender = by_port_.find(from.port());
-        if (sender == by_port_.end()) continue;  // none of the fleet's
+        const auto sender = by_endpoint_.find(from);
+        if (sender == by_endpoint_.end()) continue;  // none of the fleet's
         if (size > kLongest) {
             ++oversize_;
             recorder_.datagram(size, true);
@@ -77,7 +77,7 @@
 void Relay::pass(int from, int to, const std::vector<std::uint8_t>& bytes) {
     std::uniform_real_distribution<double> unit(0, 1);
     const bool dropped = cut_out_[static_cast<std::size_t>(from)] || cut_in_[static_cast<std::size_t>(to)] ||
-                         unit(random_) < loss_ || peer_ports_[static_cast<std::size_t>(to)] == 0;
+                         unit(random_) < loss_ || peers_[static_cast<std::size_t>(to)].port() == 0;
     recorder_.datagram(bytes.size(), dropped);
     if (dropped) return;
     const int copies = unit(random_) < experiment_.relay_duplicate ? 2 : 1;
@@ -100,7 +100,7 @@
 }
 
 void Relay::send(int from, int to, std::vector<std::uint8_t> bytes) {
-    const udp::endpoint at(asio::ip::address_v4::loopback(), peer_ports_[static_cast<std::size_t>(to)]);
+    const udp::endpoint& at = peers_[static_cast<std::size_t>(to)];
     error_code ignored;  // a datagram that can't go is a lost one
     sockets_[static_cast<std::size_t>(from)]->send_to(asio::buffer(bytes), at, 0, ignored);
 }
--- a/src/lab/relay.hpp
+++ b/src/lab/relay.hpp
@@ -25,8 +25,8 @@
         return sockets_[static_cast<std::size_t>(sidecar)]->local_endpoint().port();
     }
     std::uint16_t all_port() const { return all_->local_endpoint().port(); }
-    void bind_peer(int sidecar,
-                   std::uint16_t peer_listen);  // where that sidecar's datagrams come from and go
+    // Where that sidecar's datagrams come from and go.
+    void bind_peer(int sidecar, udp::endpoint peer_listen);
 
     void cut(const std::vector<int>& sidecars, bool inbound, bool outbound);  // adds to what is cut
     void heal();
@@ -44,8 +44,8 @@
     Recorder& recorder_;
     std::vector<std::unique_ptr<udp::socket>> sockets_;
     std::unique_ptr<udp::socket> all_;
-    std::vector<std::uint16_t> peer_ports_;
-    std::map<std::uint16_t, int> by_port_;
+    std::vector<udp::endpoint> peers_;
+    std::map<udp::endpoint, int> by_endpoint_;
     std::vector<std::uint8_t> cut_in_, cut_out_;
     double loss_;
     std::mt19937_64 random_;
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -23,23 +23,37 @@
 namespace {
 
 struct SecondFigures {
-    double jain = 1, max_over_mean = 1;
+    double jain = 1, jain_by_speed = 1, jain_window = 1, poisson_floor = 1, max_over_mean = 1;
     int live = 0, idle = 0;
 };
 
+constexpr int kWindow = 5;  // seconds: Jain's index over a longer window, less of it Poisson's noise
+
+// Over the servers live in second t: requests in it, and over the window of kWindow seconds that ends with
+// it.
 SecondFigures second_figures(const Recorder& recorder, int t) {
-    std::vector<double> load;
+    std::vector<double> load, by_speed, window;
     int idle = 0;
     for (const Recorder::Server& server : recorder.servers()) {
         if (!server.live[static_cast<std::size_t>(t)]) continue;
         const double x = server.requests[static_cast<std::size_t>(t)];
         load.push_back(x);
+        by_speed.push_back(x / server.speed);
+        double sum = 0;
+        for (int s = std::max(0, t - kWindow + 1); s <= t; ++s)
+            sum += server.requests[static_cast<std::size_t>(s)];
+        window.push_back(sum / server.speed);
         idle += x == 0;
     }
     SecondFigures f;
     f.live = static_cast<int>(load.size());
     f.idle = idle;
     f.jain = jain(load);
+    f.jain_by_speed = jain(by_speed);
+    f.jain_window = jain(window);
+    // Even the fairest random spread has Poisson's noise: with m requests a server, E[x^2] = m^2 + m.
+    const double m = load.empty() ? 0 : std::accumulate(load.begin(), load.end(), 0.0) / load.size();
+    f.poisson_floor = m > 0 ? m / (m + 1) : 1;
     const double total = std::accumulate(load.begin(), load.end(), 0.0);
     if (total > 0) f.max_over_mean = *std::max_element(load.begin(), load.end()) * load.size() / total;
     return f;
@@ -65,6 +79,8 @@
               "'' using 1:5 with lines title 'lost', '' using 1:6 with lines title 'unreachable'\n"
               "set ylabel 'index'\nset xlabel 'second'\nset yrange [0:*]\n"
               "plot 'fleet.csv' using 1:7 with lines title 'Jain over live servers', "
+              "'' using 1:16 with lines title 'Jain by speed, 5 s', '' using 1:17 with lines title 'Poisson "
+              "floor', "
               "'' using 1:8 with lines title 'max/mean', '' using 1:10 with lines title 'idle live servers'\n"
               "unset multiplot\nset output 'servers.png'\nunset key\nset xlabel 'second'\nset ylabel "
               "'server'\n"
@@ -86,11 +102,14 @@
 nlohmann::json summarize(const Experiment& experiment, const Recorder& recorder) {
     const int from = std::min(recorder.length() - 1, static_cast<int>(std::ceil(experiment.warmup_s)));
     const int to = recorder.length();
-    std::vector<double> jains, ratios;
+    std::vector<double> jains, by_speed, windows, floors, ratios;
     int idle_seconds = 0;
     for (int t = from; t < to; ++t) {
         const SecondFigures f = second_figures(recorder, t);
         jains.push_back(f.jain);
+        by_speed.push_back(f.jain_by_speed);
+        floors.push_back(f.poisson_floor);
+        if (t >= from + kWindow - 1) windows.push_back(f.jain_window);
         ratios.push_back(f.max_over_mean);
         idle_seconds += f.idle > 0;
     }
@@ -142,6 +161,9 @@
          {{"jain_mean", mean(jains)},
           {"jain_p10", percentile(jains, 0.1)},
           {"jain_min", jains.empty() ? 1.0 : *std::min_element(jains.begin(), jains.end())},
+          {"jain_poisson_floor_mean", mean(floors)},
+          {"jain_by_speed_mean", mean(by_speed)},
+          {"jain_by_speed_5s_mean", mean(windows)},
           {"max_over_mean_mean", mean(ratios)},
           {"max_over_mean_max", ratios.empty() ? 1.0 : *std::max_element(ratios.begin(), ratios.end())},
           {"seconds_with_an_idle_live_server", idle_seconds},
@@ -176,7 +198,8 @@
         std::ofstream csv(folder / "fleet.csv");
         csv << "second,served,refused,failed,lost,unreachable,jain,max_over_mean,live_servers,idle_live_"
                "servers,"
-               "discovery_calls,datagrams,datagram_bytes,datagrams_dropped\n";
+               "discovery_calls,datagrams,datagram_bytes,datagrams_dropped,jain_by_speed,jain_by_speed_5s,"
+               "jain_poisson_floor\n";
         for (int t = 0; t < recorder.length(); ++t) {
             const Recorder::Second& s = recorder.seconds()[static_cast<std::size_t>(t)];
             const SecondFigures f = second_figures(recorder, t);
@@ -184,7 +207,8 @@
             for (const std::uint64_t n : s.outcomes) csv << ',' << n;
             csv << ',' << f.jain << ',' << f.max_over_mean << ',' << f.live << ',' << f.idle << ','
                 << s.discovery_calls << ',' << s.datagrams << ',' << s.datagram_bytes << ','
-                << s.datagrams_dropped << '\n';
+                << s.datagrams_dropped << ',' << f.jain_by_speed << ',' << f.jain_window << ','
+                << f.poisson_floor << '\n';
         }
     }
     {
--- /dev/null
+++ b/tests/lab_test.cpp
@@ -0,0 +1,188 @@
+// The fleet lab: its experiment files, its figures, and a CI-sized fleet of real sidecars with faults.
+#include "lab/lab.hpp"
+
+#include <gtest/gtest.h>
+#include <spdlog/sinks/null_sink.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "lab/experiment.hpp"
+#include "lab/record.hpp"
+#include "lab/report.hpp"
+
+namespace {
+
+using kelplb::lab::Experiment;
+using kelplb::lab::ExperimentError;
+
+struct Folder {
+    Folder()
+        : path(std::filesystem::temp_directory_path() /
+               ("lab-test-" + std::to_string(::getpid()) + "-" + std::to_string(counter++))) {
+        std::filesystem::create_directories(path);
+    }
+    ~Folder() { std::filesystem::remove_all(path); }
+    std::filesystem::path file(const std::string& text) const {
+        const auto at = path / "e.toml";
+        std::ofstream(at) << text;
+        return at;
+    }
+    static inline int counter = 0;
+    std::filesystem::path path;
+};
+
+std::string field_of(const std::string& text) {
+    Folder folder;
+    try {
+        kelplb::lab::load_experiment(folder.file(text).string());
+    } catch (const ExperimentError& error) {
+        return error.field;
+    }
+    return "";
+}
+
+TEST(Experiment, ReadsWhatItSays) {
+    Folder folder;
+    const Experiment e = kelplb::lab::load_experiment(folder
+                                                          .file(R"(
+name = "x"
+seed = 5
+seconds = 9
+[fleet]
+sidecars = 7
+zones = ["a", "b"]
+[servers]
+count = 3
+speed_spread = 0.25
+[load]
+rate = 2.5
+retries = 1
+[[faults]]
+kind = "partition"
+at_s = 1
+for_s = 2
+share = 0.2
+direction = "in"
+)")
+                                                          .string());
+    EXPECT_EQ(e.name, "x");
+    EXPECT_EQ(e.seed, 5u);
+    EXPECT_EQ(e.sidecars, 7);
+    EXPECT_EQ(e.zones, (std::vector<std::string>{"a", "b"}));
+    EXPECT_EQ(e.servers, 3);
+    EXPECT_DOUBLE_EQ(e.rate, 2.5);
+    EXPECT_EQ(e.retries, 1);
+    ASSERT_EQ(e.faults.size(), 1u);
+    EXPECT_EQ(e.faults[0].kind, kelplb::lab::Fault::Kind::partition);
+    EXPECT_TRUE(e.faults[0].inbound);
+    EXPECT_FALSE(e.faults[0].outbound);
+}
+
+TEST(Experiment, NamesTheBadField) {
+    EXPECT_EQ(field_of("seconds = \"long\""), "seconds");
+    EXPECT_EQ(field_of("[fleet]\nsidecars = 0"), "fleet.sidecars");
+    EXPECT_EQ(field_of("[fleet]\nsidecars = 2.5"), "fleet.sidecars");
+    EXPECT_EQ(field_of("[load]\nretries = 3"), "load.retries");
+    EXPECT_EQ(field_of("[servers]\ncuont = 3"), "servers.cuont");
+    EXPECT_EQ(field_of("[[faults]]\nkind = \"flood\""), "faults[0].kind");
+    EXPECT_EQ(field_of("[[faults]]\nat_s = 1"), "faults[0].kind");
+    EXPECT_EQ(field_of("[[faults]]\nkind = \"servers\"\nmode = \"odd\""), "faults[0].mode");
+    EXPECT_EQ(field_of("seconds = 2\nwarmup_s = 3"), "warmup_s");
+    EXPECT_EQ(field_of("seconds = [1"), "(file)");
+    EXPECT_EQ(field_of("seconds = 3"), "");
+}
+
+TEST(Figures, JainsIndex) {
+    EXPECT_DOUBLE_EQ(kelplb::lab::jain({5, 5, 5, 5}), 1.0);
+    EXPECT_DOUBLE_EQ(kelplb::lab::jain({8, 0, 0, 0}), 0.25);
+    EXPECT_NEAR(kelplb::lab::jain({1, 2, 3}), 36.0 / 42.0, 1e-12);
+    EXPECT_DOUBLE_EQ(kelplb::lab::jain({}), 1.0);
+}
+
+TEST(Figures, CorrelationIdsCarryTheSidecar) {
+    for (const int sidecar : {0, 1, 299, 1999}) {
+        const std::string id = kelplb::lab::correlation_id(sidecar, 123456789);
+        EXPECT_EQ(id.size(), 16u);
+        EXPECT_EQ(kelplb::lab::sidecar_of(id), sidecar);
+    }
+    EXPECT_EQ(kelplb::lab::sidecar_of("not-one-of-ours!"), -1);
+    EXPECT_EQ(kelplb::lab::sidecar_of("abc"), -1);
+}
+
+// Real processes: 16 sidecars and 8 servers on loopback; a quarter of the sidecars killed and started again,
+// a quarter stopped and continued, a fifth cut off from datagrams, a server failing. Bounds, not timings.
+TEST(Fleet, RealSidecarsThroughFaults) {
+    Folder folder;
+    Experiment e = kelplb::lab::load_experiment(folder
+                                                    .file(R"(
+name = "ci"
+seed = 3
+seconds = 8
+warmup_s = 1
+[fleet]
+sidecars = 16
+zones = ["a", "b"]
+[servers]
+count = 8
+work_ms = 2
+speed_spread = 0.5
+[load]
+rate = 15
+time_left_ms = 800
+[[faults]]
+kind = "kill"
+at_s = 2
+share = 0.25
+for_s = 1
+[[faults]]
+kind = "stop"
+at_s = 2
+share = 0.25
+for_s = 1.5
+[[faults]]
+kind = "partition"
+at_s = 1
+share = 0.2
+for_s = 5
+[[faults]]
+kind = "servers"
+at_s = 3
+share = 0.125
+mode = "fail_fast"
+for_s = 2
+)")
+                                                    .string());
+    const auto log =
+        std::make_shared<spdlog::logger>("test", std::make_shared<spdlog::sinks::null_sink_st>());
+    const auto summary = kelplb::lab::run_experiment(e, {KELPLB_PROGRAM, folder.path / "run"}, log);
+
+    EXPECT_EQ(summary["ready"]["sidecars"], 16);
+    const auto& processes = summary["processes"];
+    EXPECT_EQ(processes["started"], 16 + 4);  // the killed ones came back
+    EXPECT_EQ(processes["killed"], 4);
+    EXPECT_EQ(processes["crashed"], 0);
+    // Every child was reaped: those killed by the fault, the rest ended by SIGTERM at the end with 0.
+    EXPECT_EQ(processes["ended_with_0"].get<int>() + processes["ended_otherwise"].get<int>() +
+                  processes["killed"].get<int>(),
+              20);
+    EXPECT_EQ(summary["faults"], 4);
+    const auto& outcomes = summary["outcomes"];
+    const double requests = summary["requests"];
+    EXPECT_GT(requests, 16 * 15 * 8 * 0.7);
+    // What a killed or stopped sidecar held may be lost; nothing else is.
+    EXPECT_LT(outcomes["lost"].get<double>(), 0.05 * requests);
+    EXPECT_GT(outcomes["served"].get<double>(), 0.8 * requests);
+    EXPECT_EQ(summary["sidecars_that_served_nothing"], 0);
+    EXPECT_GT(summary["datagrams"]["dropped"].get<double>(), 0);  // the partition cut some
+    EXPECT_EQ(summary["datagrams_oversize"], 0);
+    for (const char* file : {"summary.json", "fleet.csv", "servers.csv", "sidecars.csv"})
+        EXPECT_TRUE(std::filesystem::exists(folder.path / "run" / file)) << file;
+    std::ifstream csv(folder.path / "run" / "servers.csv");
+    std::string line;
+    int lines = 0;
+    while (std::getline(csv, line)) ++lines;
+    EXPECT_EQ(lines, 1 + 8 * 8);  // a line a server and second
+}
+
+}  // namespace
