Lab: each connection of a server stand-in draws its own work times

Every connection of a server was seeded alike, so the k-th request on each had the same work time: a server's mean answer time differed by some per cent from another's, the same at every sidecar, and the sidecars' tie-break by answer time turned that into a steady preference. Ruled out: uneven coverage of the ring (18 to 25 users per server), the weighted draw (checked by hand). Lines to blame: the seed of the work-time generator in GuideServer::serve.

Change: a generator per connection, seeded by run, server and connection; pairs.csv in the report (requests per server and sidecar), which showed it.

--- a/src/lab/record.cpp
+++ b/src/lab/record.cpp
@@ -41,6 +41,7 @@
         s.first_senders.assign(seconds_.size(), 0);
         s.live.assign(seconds_.size(), 1);
         s.last_sender_second.assign(sidecars_.size(), -1);
+        s.from_sidecar.assign(sidecars_.size(), 0);
         s.sent_since_cold.assign(sidecars_.size(), 0);
     }
 }
@@ -60,7 +61,7 @@
             s.sent_since_cold[who] = 1;
             if (t >= 0) ++s.first_senders[static_cast<std::size_t>(t)];
         }
-        if (t >= 0) s.last_sender_second[who] = t;
+        if (t >= 0) s.last_sender_second[who] = t, ++s.from_sidecar[who];
     }
     if (t >= 0) ++s.requests[static_cast<std::size_t>(t)];
 }
--- a/src/lab/record.hpp
+++ b/src/lab/record.hpp
@@ -39,7 +39,8 @@
         std::vector<std::uint32_t> requests, connections, first_senders;  // per second
         std::vector<std::uint8_t> live;                                   // per second: 1 if live throughout
         std::vector<std::int32_t> last_sender_second;                     // per sidecar, -1: never
-        double speed = 1;  // its capacity against a server of speed 1
+        std::vector<std::uint32_t> from_sidecar;  // per sidecar: requests after the start, the whole run
+        double speed = 1;                         // its capacity against a server of speed 1
         bool live_now = true;
         bool cold = false;
         std::vector<std::uint8_t> sent_since_cold;  // per sidecar
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -225,6 +225,16 @@
             }
         }
     }
+    {
+        // How each sidecar spreads its requests over the servers it uses: the pairs that saw any.
+        std::ofstream csv(folder / "pairs.csv");
+        csv << "server,sidecar,requests\n";
+        for (std::size_t i = 0; i < recorder.servers().size(); ++i) {
+            const auto& from = recorder.servers()[i].from_sidecar;
+            for (std::size_t j = 0; j < from.size(); ++j)
+                if (from[j] > 0) csv << i << ',' << j << ',' << from[j] << '\n';
+        }
+    }
     {
         std::ofstream csv(folder / "sidecars.csv");
         csv << "sidecar,served,refused,failed,lost,unreachable,mean_served_ms\n";
--- a/src/lab/standins.cpp
+++ b/src/lab/standins.cpp
@@ -134,7 +134,10 @@
 asio::awaitable<void> GuideServer::serve(std::shared_ptr<beast::tcp_stream> stream) {
     auto self = shared_from_this();
     beast::flat_buffer buffer;
-    std::minstd_rand random(static_cast<unsigned>(experiment_.seed * 7919 + static_cast<unsigned>(index_)));
+    // Each connection draws its own work times: one sequence shared by all of a server's connections would
+    // make the server seem steadily faster or slower than its speed to every sidecar at once.
+    std::mt19937_64 random(experiment_.seed * 0x9e3779b97f4a7c15ULL +
+                           static_cast<std::uint64_t>(index_) * 1000003 + connections_++);
     std::uniform_real_distribution<double> spread(0.5, 1.5);
     for (;;) {
         error_code ec;
--- a/src/lab/standins.hpp
+++ b/src/lab/standins.hpp
@@ -68,6 +68,7 @@
     ServerMode mode_ = ServerMode::ok;
     bool up_ = false;
     std::uint16_t port_ = 0;
+    std::uint64_t connections_ = 0;  // served so far, for each one's seed
     std::chrono::steady_clock::time_point started_{};
     std::shared_ptr<tcp::acceptor> acceptor_;
     std::set<std::shared_ptr<beast::tcp_stream>> open_;
