--- a/src/net/log.hpp
+++ b/src/net/log.hpp
@@ -1,14 +1,32 @@
-// The log on standard error: one line a message, and bounded, since files and pipes count as memory and a
-// failing neighbour must not fill them.
+// The log on standard error: one JSON object a line (spdlog), and bounded, since files and pipes count as
+// memory and a failing neighbour must not fill them.
 #pragma once
 
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <chrono>
-#include <iostream>
+#include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 
 namespace kelplb::net {
 
+// {"t":"2026-12-01T20:56:21.123456Z","level":"info","name":"cobaltshift","msg":"..."}; not registered with
+// spdlog's registry, so that nothing else can reach or reconfigure it.
+inline spdlog::logger& log_sink() {
+    static const std::shared_ptr<spdlog::logger> logger = [] {
+        auto made = std::make_shared<spdlog::logger>("cobaltshift",
+                                                     std::make_shared<spdlog::sinks::stderr_sink_st>());
+        made->set_pattern(R"({"t":"%Y-%m-%dT%H:%M:%S.%fZ","level":"%l","name":"%n","msg":%v})",
+                          spdlog::pattern_time_type::utc);
+        made->flush_on(spdlog::level::trace);
+        return made;
+    }();
+    return *logger;
+}
+
 inline void log_line(const std::string& text) {
     using Clock = std::chrono::steady_clock;
     constexpr double kBurst = 100, kPerSecond = 2;
@@ -23,12 +41,14 @@
         return;
     }
     allowance -= 1;
-    if (dropped > 0) std::cerr << "cobaltshift: " << dropped << " lines left out\n";
+    if (dropped > 0) log_sink().warn("\"{} lines left out\"", dropped);
     dropped = 0;
     std::string line = text.substr(0, 200);
     std::replace_if(
         line.begin(), line.end(), [](unsigned char c) { return c < 0x20 || c == 0x7f; }, '?');
-    std::cerr << "cobaltshift: " << line << std::endl;
+    // A JSON string: quotes and backslashes from peers or files can't break the line's shape. Bytes that are
+    // not UTF-8 are replaced, not refused.
+    log_sink().info(nlohmann::json(line).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 }  // namespace kelplb::net
--- /dev/null
+++ b/tests/log_test.cpp
@@ -0,0 +1,72 @@
+// The sidecar's log: one JSON object a line whatever a message holds, and no more than its rate allows.
+#include "net/log.hpp"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace {
+
+// Standard error into a file for as long as it lives; the lines written meanwhile.
+class Captured {
+public:
+    Captured() : path_("log-test-" + std::to_string(::getpid())) {
+        std::fflush(stderr);
+        saved_ = ::dup(2);
+        std::FILE* file = std::fopen(path_.c_str(), "w");
+        ::dup2(::fileno(file), 2);
+        std::fclose(file);
+    }
+    ~Captured() { std::remove(path_.c_str()); }
+    std::vector<std::string> lines() {
+        kelplb::net::log_sink().flush();
+        ::dup2(saved_, 2);
+        ::close(saved_);
+        std::vector<std::string> out;
+        std::ifstream in(path_);
+        for (std::string line; std::getline(in, line);) out.push_back(line);
+        return out;
+    }
+
+private:
+    std::string path_;
+    int saved_ = -1;
+};
+
+TEST(Log, EachLineIsAJsonObjectWhateverTheMessageHolds) {
+    Captured captured;
+    kelplb::net::log_line("a peer said \"all dead\" \\ and\nmore\x01");
+    kelplb::net::log_line(std::string("bytes \xff\xfe that are no UTF-8"));
+    const auto lines = captured.lines();
+    ASSERT_EQ(lines.size(), 2u);
+    const auto first = nlohmann::json::parse(lines[0]);
+    EXPECT_EQ(first.at("msg"), "a peer said \"all dead\" \\ and?more?");
+    EXPECT_EQ(first.at("level"), "info");
+    EXPECT_EQ(first.at("name"), "cobaltshift");
+    EXPECT_EQ(first.at("t").get<std::string>().back(), 'Z');
+    EXPECT_NO_THROW(nlohmann::json::parse(lines[1]));
+}
+
+TEST(Log, ABurstIsCutAndWhatWasLeftOutIsSaid) {
+    Captured captured;
+    for (int i = 0; i < 1000; ++i) kelplb::net::log_line("line " + std::to_string(i));
+    const auto lines = captured.lines();
+    // The allowance is 100 lines and 2 a second; the test's earlier lines took some of it.
+    EXPECT_LE(lines.size(), 105u);
+    EXPECT_GE(lines.size(), 50u);
+    Captured again;
+    ::usleep(600 * 1000);  // one more line's worth of allowance
+    kelplb::net::log_line("after");
+    const auto later = again.lines();
+    ASSERT_GE(later.size(), 2u);
+    EXPECT_NE(nlohmann::json::parse(later[0]).at("msg").get<std::string>().find("lines left out"),
+              std::string::npos);
+    EXPECT_EQ(nlohmann::json::parse(later.back()).at("msg"), "after");
+}
+
+}  // namespace
