Fleet state: records with versions, SWIM membership, digests and catch-up, as a library

Change: kelplb_fleet (src/fleet/): a join of what each origin says (life, incarnation, status, records by count, a floor that keeps the expired from coming back), a codec of at most 256 bytes with the version in its first, and a replica: probes that take as many pings as the measured loss asks for, suspicion that only the suspect refutes, news on every datagram, digests by ranges, pulls at the start and after a stall, and confirmation by the origins themselves of what is said in their names. SimFleet plays many of them on a simulated clock and network. Not used by the sidecar yet.

--- /dev/null
+++ b/src/fleet/codec.cpp
@@ -0,0 +1,168 @@
+#include "fleet/codec.hpp"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <array>
+
+namespace kelplb::fleet {
+
+namespace {
+
+// One description of each item's fields, for sizes, writing and reading alike.
+template <class Visit>
+void fields(MemberItem& i, Visit visit) {
+    visit(i.member), visit(i.standing.life), visit(i.standing.incarnation), visit(i.standing.status);
+    visit(i.floor);
+}
+template <class Visit>
+void fields(EvidenceItem& i, Visit visit) {
+    visit(i.origin), visit(i.life), visit(i.server), visit(i.count);
+    visit(i.evidence.good), visit(i.evidence.bad), visit(i.evidence.pace), visit(i.evidence.flags);
+    visit(i.left);
+}
+template <class Visit>
+void fields(VersionsItem& i, Visit visit) {
+    visit(i.origin), visit(i.life), visit(i.count), visit(i.versions.epoch), visit(i.versions.hash);
+    visit(i.versions.list_incarnation), visit(i.versions.list_seq);
+}
+template <class Visit>
+void fields(FingerprintItem& i, Visit visit) {
+    visit(i.member), visit(i.fingerprint);
+}
+template <class Visit>
+void fields(WantItem& i, Visit visit) {
+    visit(i.member);
+}
+template <class Visit>
+void fields(RangeItem& i, Visit visit) {
+    visit(i.range), visit(i.hash);
+}
+
+template <class Number>
+void put(Bytes& bytes, Number value) {
+    for (std::size_t shift = sizeof(Number); shift-- > 0;)
+        bytes.push_back(static_cast<std::uint8_t>(static_cast<std::uint64_t>(value) >> (8 * shift)));
+}
+
+// From the front of `rest`; the caller has looked that there are enough.
+template <class Number>
+void take(std::span<const std::uint8_t>& rest, Number& value) {
+    std::uint64_t read = 0;
+    for (std::size_t i = 0; i < sizeof(Number); ++i) read = read << 8 | rest[i];
+    value = static_cast<Number>(read);
+    rest = rest.subspan(sizeof(Number));
+}
+
+std::size_t bytes_of(Item item) {
+    std::size_t size = 1;
+    std::visit([&](auto& i) { fields(i, [&](const auto& field) { size += sizeof field; }); }, item);
+    return size;
+}
+
+template <std::size_t I = 0>
+Item empty_item(std::size_t index) {
+    if constexpr (I + 1 < std::variant_size_v<Item>)
+        if (index != I) return empty_item<I + 1>(index);
+    return Item(std::in_place_index<I>);
+}
+
+std::uint32_t checksum(std::span<const std::uint8_t> bytes) {
+    std::array<std::uint8_t, kLongest> all;
+    std::size_t n = 0;
+    for (std::size_t i = 0; i < bytes.size(); ++i)
+        if (i < 2 || i >= 6) all[n++] = bytes[i];
+    return XXH32(all.data(), n, kFormat);
+}
+
+bool sound(const Item& item) {
+    if (const auto* m = std::get_if<MemberItem>(&item)) return m->standing.status <= Status::dead;
+    if (const auto* r = std::get_if<RangeItem>(&item)) return r->range < kRanges;
+    return true;
+}
+
+}  // namespace
+
+std::size_t size_of(const Item& item) {
+    static const auto sizes = [] {
+        std::array<std::size_t, std::variant_size_v<Item>> all{};
+        for (std::size_t i = 0; i < all.size(); ++i) all[i] = bytes_of(empty_item(i));
+        return all;
+    }();
+    return sizes[item.index()];
+}
+
+std::size_t Datagram::size() const {
+    std::size_t size = kHead;
+    for (const Item& item : items) size += size_of(item);
+    return size;
+}
+
+bool Datagram::add(const Item& item) {
+    if (size() + size_of(item) > kLongest) return false;
+    items.push_back(item);
+    return true;
+}
+
+Bytes encode(const Datagram& d) {
+    Bytes bytes;
+    bytes.reserve(kLongest);
+    put(bytes, kFormat), put(bytes, d.kind), put(bytes, std::uint32_t{0});
+    put(bytes, d.life), put(bytes, d.incarnation), put(bytes, d.token), put(bytes, d.subject);
+    for (Item item : d.items) {
+        if (bytes.size() + size_of(item) > kLongest) break;
+        put(bytes, static_cast<std::uint8_t>(item.index() + 1));
+        std::visit([&](auto& i) { fields(i, [&](const auto& field) { put(bytes, field); }); }, item);
+    }
+    fix_checksum(bytes);
+    return bytes;
+}
+
+void fix_checksum(std::span<std::uint8_t> bytes) {
+    const std::uint32_t sum = checksum(bytes);
+    for (std::size_t i = 0; i < 4; ++i) bytes[2 + i] = static_cast<std::uint8_t>(sum >> (24 - 8 * i));
+}
+
+std::variant<Datagram, Fault> decode(std::span<const std::uint8_t> bytes) {
+    if (bytes.size() > kLongest) return Fault::too_long;
+    if (bytes.size() < kHead) return Fault::too_short;
+    if (bytes[0] != kFormat) return Fault::format;
+    std::span<const std::uint8_t> rest = bytes.subspan(1);
+    Datagram d;
+    std::uint32_t sum = 0;
+    take(rest, d.kind), take(rest, sum);
+    take(rest, d.life), take(rest, d.incarnation), take(rest, d.token), take(rest, d.subject);
+    if (sum != checksum(bytes)) return Fault::checksum;
+    if (d.kind < Kind::ping || d.kind > Kind::summary) return Fault::kind;
+    while (!rest.empty()) {
+        const std::size_t tag = rest[0];
+        if (tag < 1 || tag > std::variant_size_v<Item>) return Fault::item;
+        Item item = empty_item(tag - 1);
+        if (rest.size() < size_of(item)) return Fault::item;
+        rest = rest.subspan(1);
+        std::visit([&](auto& i) { fields(i, [&](auto& field) { take(rest, field); }); }, item);
+        if (!sound(item)) return Fault::item;
+        d.items.push_back(item);
+    }
+    return d;
+}
+
+const char* word(Fault fault) {
+    switch (fault) {
+        case Fault::too_short:
+            return "too short";
+        case Fault::too_long:
+            return "too long";
+        case Fault::format:
+            return "another format";
+        case Fault::checksum:
+            return "wrong checksum";
+        case Fault::kind:
+            return "unknown kind";
+        case Fault::item:
+            break;
+    }
+    return "bad item";
+}
+
+}  // namespace kelplb::fleet
--- /dev/null
+++ b/tests/decode_fuzz.cpp
@@ -0,0 +1,87 @@
+// A fuzz target for whatever may come in a datagram: decoded, written again, and heard by a replica.
+// With libFuzzer: -DKELPLB_FUZZ=ON (clang). Without, main() below plays the corpus and a fixed number of
+// mutations of it, the same every time.
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <random>
+
+#include "fleet/replica.hpp"
+
+using namespace kelplb::fleet;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+    const std::span<const std::uint8_t> bytes(data, size);
+    const auto decoded = decode(bytes);
+    if (const auto* d = std::get_if<Datagram>(&decoded))
+        if (const Bytes again = encode(*d); !std::equal(again.begin(), again.end(), data, data + size))
+            std::abort();
+    // The checksum keeps most mutations out: with it put right they get to the parts behind.
+    constexpr Millis now = 1.7e12;
+    Replica replica(1, 40, 1'700'000'000, 5);
+    std::vector<Outgoing> out;
+    replica.start(now, out);
+    replica.say(now, 3, {1, 1, 0, 0});
+    replica.receive(now, 2, bytes, out);
+    if (size >= kHead && size <= kLongest) {
+        Bytes fixed(bytes.begin(), bytes.end());
+        fixed[0] = kFormat;
+        fix_checksum(fixed);
+        for (int i = 0; i < 3; ++i) replica.receive(now + i, static_cast<MemberId>(2 + i), fixed, out);
+    }
+    for (Millis at = now; at < now + 3000; at = std::max(at + 1, replica.due())) replica.advance(at, out);
+    for (const Outgoing& o : out)
+        if (o.bytes.size() > kLongest || o.to >= 40 || std::holds_alternative<Fault>(decode(o.bytes)))
+            std::abort();
+    if (replica.records() > 40 * kMostRecords) std::abort();
+    return 0;
+}
+
+#ifndef KELPLB_LIBFUZZER
+int main(int argc, char** argv) {
+    if (argc != 3) return 2;
+    std::vector<std::filesystem::path> files;
+    for (const auto& entry : std::filesystem::directory_iterator(argv[1])) files.push_back(entry.path());
+    std::sort(files.begin(), files.end());
+    std::vector<Bytes> corpus;
+    for (const auto& path : files) {
+        std::ifstream file(path, std::ios::binary);
+        corpus.emplace_back(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
+    }
+    if (corpus.size() < 7) return std::fputs("the corpus is not there\n", stderr), 1;
+    for (const Bytes& seed : corpus) {
+        if (std::holds_alternative<Fault>(decode(seed)))
+            return std::fputs("a seed is no datagram\n", stderr), 1;
+        LLVMFuzzerTestOneInput(seed.data(), seed.size());
+    }
+    std::mt19937_64 random(1);
+    const long runs = std::atol(argv[2]);
+    for (long i = 0; i < runs; ++i) {
+        Bytes bytes = corpus[random() % corpus.size()];
+        for (auto n = 1 + random() % 8; n > 0 && !bytes.empty(); --n) switch (random() % 4) {
+                case 0:
+                    bytes[random() % bytes.size()] = static_cast<std::uint8_t>(random());
+                    break;
+                case 1:
+                    bytes.resize(random() % (kLongest + 20), static_cast<std::uint8_t>(random()));
+                    break;
+                case 2:
+                    bytes[random() % bytes.size()] ^= static_cast<std::uint8_t>(1u << random() % 8);
+                    break;
+                default: {
+                    const Bytes& other = corpus[random() % corpus.size()];
+                    bytes.insert(bytes.end(),
+                                 other.begin() + std::min<std::ptrdiff_t>(
+                                                     kHead, static_cast<std::ptrdiff_t>(other.size())),
+                                 other.end());
+                }
+            }
+        LLVMFuzzerTestOneInput(bytes.data(), bytes.size());
+    }
+    std::printf("%zu seeds and %ld mutations\n", corpus.size(), runs);
+    return 0;
+}
+#endif
