Sidecars share what they see of servers: evidence in the module, datagrams in the node

Change: the module shares outcomes of a server that fails (Share), takes the others' sum (FleetView), and judges it as a window of the fleet's: three witnesses at least, own fresh successes first, a tenth of the list at most, own backoff and trial. The node carries it by the replica; cobaltshift.fleet.enabled, off if absent. Causes found in the lab, each measured there: news of hundreds of origins saturated gossip (p50 4 s), so a complaint goes to all at once while few know it; successes from before the first complaint outvoted it; doubt by two complaints starved the third; the blamed servers' own failures widened the level's margin.

--- a/include/kelplb/balancer.hpp
+++ b/include/kelplb/balancer.hpp
@@ -54,6 +54,7 @@
     bool parallel_tries = false;     // two attempts of one request may be out together
     bool may_cancel = true;          // Cancel is permitted
     bool may_probe = false;          // Probe is permitted
+    bool share = false;              // Share is carried out and FleetView comes: sidecars pool what they see
     bool may_tell = false;           // TellPeer is permitted; then a ServerId is the same at every sidecar
     double cold_from = 1;            // a starting server has at least this share of its capacity, 0 to 1
     Millis warm_within = 0;          // and all of it after this
@@ -145,8 +146,23 @@
 struct Recalled {
     std::vector<Learnt> learnt{};
 };
+// What the other sidecars say of a server, added up, of their last 10 s. What somebody only passed on counts
+// for a server and not against it.
+struct FleetEvidence {
+    ServerId server = 0;
+    std::uint32_t good = 0, bad = 0;  // outcomes
+    std::uint32_t complaints = 0;     // sidecars it failed, or that have it out of their pools,
+    std::uint32_t witnesses = 0;      // and those of them that said so themselves
+    std::uint32_t restored = 0;       // sidecars whose trial it has just passed
+    std::uint32_t paced = 0;          // sidecars that told how long its answers take,
+    double pace = 0;                  // against their aim, on average
+};
+// All there is: whoever is not named, nobody speaks of.
+struct FleetView {
+    std::vector<FleetEvidence> servers{};
+};
 using Event = std::variant<Started, ServerList, RequestArrived, FirstByte, AttemptEnded, ClientGone,
-                           TimerFired, ProbeEnded, PeerMessage, SettingsChanged, Recalled>;
+                           TimerFired, ProbeEnded, PeerMessage, SettingsChanged, Recalled, FleetView>;
 
 // ---- Actions --------------------------------------------------------------------------------------------
 // A caller must be able to carry out all of them; the present decisions use no FetchList.
@@ -181,6 +197,15 @@
     std::optional<std::uint32_t> to{};  // none: all of them
     std::vector<std::uint8_t> bytes{};
 };
+// What this sidecar has seen of a server in the last seconds, for the others; it replaces what it said
+// before.
+struct Share {
+    ServerId server = 0;
+    double good = 0, bad = 0;  // outcomes
+    double pace = 0;           // its answers' time against their aim, of late; 0: not known
+    bool removed = false;      // it is out of our pool
+    bool restored = false;     // it has just passed its trial
+};
 struct Subscribe {
     bool active = true;
 };
@@ -190,7 +215,7 @@
     std::optional<ServerId> server{};  // whom it is about
 };
 using Action = std::variant<Send, Cancel, Refuse, GiveUp, SetTimer, Probe, CloseIdle, TellPeer, Subscribe,
-                            FetchList, Log>;
+                            FetchList, Log, Share>;
 
 // ---- The balancer ---------------------------------------------------------------------------------------
 
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -50,6 +50,15 @@
 // The part of the room that is there for every class, however little its worth, and all that repeats get: a
 // repeat's aim has been running since its first try.
 constexpr double kCommonRoom = 0.6;
+// Shared evidence: a window of the fleet's needs so many witnesses; what is removed on its word alone is at
+// most this part of the list (Envoy's max_ejection_percent), one server at least.
+constexpr std::uint32_t kWitnesses = 3;
+constexpr double kHearsayPart = 0.1;
+constexpr Millis kRecent = 5000;  // in which an outcome loses all but a third of its weight here
+constexpr double kOwnWord = 3;    // so many good ones of late, and no hearsay is needed
+constexpr Millis kShareEvery = 500, kAnswerEvery = 2000, kRefresh = 5000;
+constexpr Millis kTrialSpread = 2000;          // trials that another's success brings forward are spread over
+constexpr double kOverdue = 1, kOnTime = 0.8;  // the pace from which a server is said to be crowded, and not
 constexpr Millis kResubscribe = 1000;  // first wait after a failed call for the list; doubles up to 8 of it
 
 bool proves_never_ran(Outcome o) {
@@ -72,6 +81,11 @@
     double pace = 0;       // its answers' time against their aim, of late
     double suspicion = 0;  // decayed count of failed attempts, ours and those we were told of
     Millis suspected_at = 0;
+    double good = 0, bad = 0;  // our outcomes of late, decayed; bad ones are errors, not late answers
+    Millis counted_at = 0, shared_at = -kRefresh;
+    bool said_crowded = false;
+    bool by_hearsay = false;        // removed on the word of others
+    FleetEvidence fleet{};          // theirs
     std::vector<RequestId> askers;  // requests that await a probe of it
 };
 
@@ -232,6 +246,8 @@
         }
         const bool subscribe = e.settings->list_on_request && !settings->list_on_request;
         settings = e.settings;
+        if (!settings->share)
+            for (auto& [id, s] : servers) s.fleet = {};
         if (subscribe) act(Subscribe{true});
         release_held();  // our part of the room may have grown
     }
@@ -271,6 +287,7 @@
         if (fresh || info.online_since > s.info.online_since) {
             s.standing = Standing::live;  // another process under the same name: its record starts anew
             s.window = 0, s.filled = 0;
+            s.good = s.bad = 0, s.said_crowded = false, s.fleet = {};
         }
         s.info = info;
         if (!(s.info.units > 0)) s.info.units = 1;  // nonsense: as if unknown
@@ -334,13 +351,18 @@
         return successes(s) + (kWindow - s.filled) < kWindow * (kThreshold * level - 3 * noise);
     }
 
+    // Those that the fleet complains of are no measure, while they are the fewer.
     double level_without(const Server& s) const {
-        double good = 0, all = 0;
-        for (const auto& [id, other] : servers)
-            if (&other != &s && other.standing == Standing::live) {
-                good += successes(other);
-                all += other.filled;
-            }
+        double good = 0, all = 0, clean_good = 0, clean_all = 0;
+        std::size_t live = 0, clean = 0;
+        for (const auto& [id, other] : servers) {
+            if (&other == &s || other.standing != Standing::live) continue;
+            const bool blamed = other.fleet.complaints > 0;
+            ++live, clean += !blamed;
+            good += successes(other), all += other.filled;
+            if (!blamed) clean_good += successes(other), clean_all += other.filled;
+        }
+        if (2 * clean >= live) good = clean_good, all = clean_all;
         return all > 0 ? good / all : 1;
     }
 
@@ -351,20 +373,111 @@
     bool may_remove(bool slow) const {
         std::size_t listed = 0, out = 0;
         for (const auto& [id, s] : servers)
-            if (s.listed) ++listed, out += s.standing != Standing::live;
+            if (s.listed) ++listed, out += is_out(s);
         return (slow ? 4 : 2) * (out + 1) <= listed;
     }
 
-    void remove(Server& s) {
-        if (s.standing == Standing::live) act(Log{"removed from the pool", s.info.id});
+    // What is out on the word of others may be tried once its backoff is over, and may never be: we need not
+    // use it.
+    bool is_out(const Server& s) const {
+        return s.standing != Standing::live && !(s.by_hearsay && now >= s.backoff_until);
+    }
+
+    void remove(Server& s, bool by_hearsay = false) {
+        s.by_hearsay = by_hearsay;
+        if (by_hearsay)
+            act(Log{"removed from the pool on the word of " + std::to_string(s.fleet.witnesses) + " others",
+                    s.info.id});
+        else if (s.standing == Standing::live)
+            act(Log{"removed from the pool", s.info.id});
         s.standing = Standing::removed;
         s.backoff_until = now + kBackoff;
+        if (!by_hearsay) share(s, false);
     }
 
     void restore(Server& s) {
         s.standing = Standing::live;
         s.window = 0, s.filled = 0;
         act(Log{"restored after a trial", s.info.id});
+        s.bad = 0;
+        share(s, true);
+    }
+
+    // ---- Shared evidence --------------------------------------------------------------------------------
+
+    // Twenty outcomes are soon seen by all sidecars together, where one of them takes minutes. So each tells
+    // what it saw of a server that fails, or that others complain of, and judges by the sum as by a window of
+    // its own. Its own fresh outcomes go before hearsay, and a backoff and a trial of its own follow.
+    void share(Server& s, bool restored) {
+        if (!settings->share) return;
+        // What enough others say already need not be said by hundreds; what we said ourselves is kept true.
+        const bool known = restored ? s.fleet.restored >= kWitnesses : s.fleet.witnesses >= 2 * kWitnesses;
+        if (known && now >= s.shared_at + kBackoff) return;
+        s.shared_at = now;
+        count(s, 0, 0);
+        act(Share{s.info.id, s.good, s.bad, s.pace, s.standing != Standing::live, restored});
+    }
+    void count(Server& s, double good, double bad) {
+        const double left = std::exp((s.counted_at - now) / kRecent);
+        s.good = s.good * left + good, s.bad = s.bad * left + bad, s.counted_at = now;
+    }
+    bool vouched_for(Server& s) {
+        count(s, 0, 0);
+        return s.good >= kOwnWord && s.good >= kThreshold * (s.good + s.bad);
+    }
+    void share_outcome(Server& s, Outcome outcome) {
+        if (outcome == Outcome::recalled || outcome == Outcome::superseded) return;
+        const bool good = outcome == Outcome::completed;
+        count(s, good, !good);
+        const bool crowded = s.pace > (s.said_crowded ? kOnTime : kOverdue);
+        const bool news = crowded != s.said_crowded;
+        s.said_crowded = crowded;
+        const Millis quiet = now - s.shared_at;
+        // Where others complain, successes are news too.
+        const bool answer =
+            good && s.fleet.complaints > 0 && s.fleet.good < 3 * kWindow && quiet >= kAnswerEvery;
+        if (news || answer || (!good && quiet >= kShareEvery) || (crowded && quiet >= kRefresh))
+            share(s, false);
+    }
+
+    void on(const FleetView& e) {
+        std::map<ServerId, FleetEvidence> said;
+        for (const FleetEvidence& f : e.servers) said[f.server] = f;
+        for (auto& [id, s] : servers) {
+            const bool before = s.fleet.complaints > 0;
+            const auto now_said = said.find(id);
+            s.fleet = now_said == said.end() ? FleetEvidence{} : now_said->second;
+            // What it did well before the first complaint does not contradict it.
+            if (!before && s.fleet.complaints > 0 && s.bad < 1) s.good = 0;
+        }
+        // The worst first: the cap may not let all be removed.
+        std::vector<Server*> named;
+        for (auto& [id, s] : servers)
+            if (s.listed && s.fleet.complaints + s.fleet.restored > 0) named.push_back(&s);
+        std::stable_sort(named.begin(), named.end(), [](const Server* a, const Server* b) {
+            return a->fleet.witnesses > b->fleet.witnesses;
+        });
+        for (Server* s : named) heed(*s);
+    }
+    void heed(Server& s) {
+        // Another's success is worth a trial of our own, and no more; not all at once.
+        if (s.standing == Standing::removed && s.fleet.restored > 0 && s.backoff_until > now + kTrialSpread)
+            s.backoff_until = now + kTrialSpread * random.unit();
+        if (s.standing != Standing::live || s.fleet.complaints == 0) return;
+        if (!vouched_for(s) && convicted(s) && may_remove(false) && may_heed()) remove(s, true);
+    }
+    bool convicted(const Server& s) const {
+        const std::uint32_t witnesses = s.fleet.witnesses + (s.bad >= 1 ? 1 : 0);
+        const double good = s.fleet.good + s.good, bad = s.fleet.bad + s.bad;
+        const double level = level_without(s), all = std::max<double>(kWindow, good + bad);
+        const double noise = std::sqrt(level * (1 - level) / kWindow);
+        return witnesses >= kWitnesses && (all - bad) / all < kThreshold * level - 3 * noise;
+    }
+    bool may_heed() const {
+        std::size_t listed = 0, out = 0;
+        for (const auto& [id, s] : servers)
+            if (s.listed) ++listed, out += s.by_hearsay && is_out(s);
+        return static_cast<double>(out) + 1 <= std::max(1.0, kHearsayPart * static_cast<double>(listed));
     }
 
     // ---- Pick -------------------------------------------------------------------------------------------
@@ -439,7 +552,9 @@
     // the draw and breaks ties between equal queues, no more; an answer halves it, and a backoff forgets it:
     // lost, false or malformed messages do little harm. What comes late is not told of: in a crowd all do.
     double suspicion(const Server& s) const {
-        const double left = s.suspicion * std::exp((s.suspected_at - now) / kBackoff);
+        double left = s.suspicion * std::exp((s.suspected_at - now) / kBackoff);
+        if (const FleetEvidence& f = s.fleet; f.witnesses >= kWitnesses)  // how many, and how much they saw
+            left = std::min(kMostDoubt, left + f.witnesses * (f.bad + 1.0) / (f.bad + f.good + 1.0));
         return left < kDoubt || !is_thin() ? 0
                                            : left;  // a failure now and then is no reason to load the others
     }
@@ -454,7 +569,7 @@
         }
     }
     void tell_failure(ServerId id) {
-        if (!settings->may_tell || !is_thin()) return;
+        if (!settings->may_tell || settings->share || !is_thin()) return;
         std::vector<std::uint8_t> bytes;
         for (int shift = 24; shift >= 0; shift -= 8) bytes.push_back(static_cast<std::uint8_t>(id >> shift));
         tell(settings->siblings / kToldPart, bytes);
@@ -513,7 +628,10 @@
 
     // At random, each with the chance of its registered size: where every queue of ours is empty, the draw
     // alone decides, and equal parts would drown the small servers. What is doubted is drawn the more seldom.
-    double chance(const Server& s) const { return s.info.units / ((1 + suspicion(s)) * (1 + suspicion(s))); }
+    double chance(const Server& s) const {
+        const bool crowded = s.fleet.paced >= kWitnesses && s.fleet.pace > kOverdue;
+        return s.info.units / ((1 + suspicion(s)) * (1 + suspicion(s))) * (crowded ? 0.5 : 1);
+    }
     Server* draw(const std::vector<Server*>& from, const Server* except) {
         double total = 0;
         for (const Server* s : from) total += s == except ? 0 : chance(*s);
@@ -648,6 +766,7 @@
             doubt(s, 0.5, 0);
         else if (e.outcome != Outcome::recalled && e.outcome != Outcome::superseded)
             doubt(s, 1, 1), tell_failure(s.info.id);
+        if (settings->share) share_outcome(s, e.outcome);
         judge(s, a, e.outcome, e.duration > r.kind.aim && !is_cold(s));
     }
 
--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -133,7 +133,7 @@
     take(rest, d.kind), take(rest, sum);
     take(rest, d.life), take(rest, d.incarnation), take(rest, d.token), take(rest, d.subject);
     if (sum != checksum(bytes)) return Fault::checksum;
-    if (d.kind < Kind::ping || d.kind > Kind::summary) return Fault::kind;
+    if (d.kind < Kind::ping || d.kind > Kind::shout) return Fault::kind;
     while (!rest.empty()) {
         const std::size_t tag = rest[0];
         if (tag < 1 || tag > std::variant_size_v<Item>) return Fault::item;
--- a/src/fleet/codec.hpp
+++ b/src/fleet/codec.hpp
@@ -29,13 +29,14 @@
 constexpr std::size_t kRanges = 16;     // of members' numbers, for a digest
 
 enum class Kind : std::uint8_t {
-    ping = 1,    // answer with an ack of the same token
-    probe = 2,   // ping the subject for me, and pass its ack on
-    ack = 3,     // the subject has answered the ping of that token
-    gossip = 4,  // items only
-    digest = 5,  // a hash of each range: say where yours differs
-    pull = 6,    // the same, from one who knows little: send what you have
-    summary = 7  // a fingerprint of each member in a range that differed
+    ping = 1,     // answer with an ack of the same token
+    probe = 2,    // ping the subject for me, and pass its ack on
+    ack = 3,      // the subject has answered the ping of that token
+    gossip = 4,   // items only
+    digest = 5,   // a hash of each range: say where yours differs
+    pull = 6,     // the same, from one who knows little: send what you have
+    summary = 7,  // a fingerprint of each member in a range that differed
+    shout = 8     // items only, to all: nobody need pass them on
 };
 
 struct MemberItem {
--- a/src/fleet/replica.cpp
+++ b/src/fleet/replica.cpp
@@ -28,7 +28,10 @@
 constexpr Millis kLookPeriod = 50;  // how often the view is put together, while things change
 // The records of so many origins that complain of a server travel as news; of more, by digests: they no
 // longer change what is known.
-constexpr std::uint32_t kNewsOrigins = 6;
+constexpr std::uint32_t kNewsOrigins = 4;
+// Evidence, and that a member has come up, goes on this share of the times: several say the same, and digests
+// find what is missing.
+constexpr double kFewRepeats = 0.4;
 // What is said against a server in others' names is believed once so many of them say so themselves.
 constexpr std::uint32_t kWitnesses = 3;
 constexpr std::size_t kMostConfirmed = 8;  // asked at a time
@@ -42,6 +45,9 @@
 constexpr double kPingWeight = 0.05;  // of each in the share unanswered
 constexpr Millis kNewLifeEvery = 1000;
 constexpr std::uint32_t kMostCount = 1u << 30;
+// What is shouted within this goes in one datagram. At most so many shouts at a stretch.
+constexpr Millis kBreath = 20;
+constexpr double kVoice = 3;
 constexpr Millis kTenth = 100;
 
 std::uint8_t tenths(Millis left) {
@@ -63,6 +69,7 @@
 void Replica::start(Millis now, std::vector<Outgoing>& out) {
     now_ = now;
     allowance_ = kAllowance, allowance_at_ = now;
+    voice_ = kVoice, voice_at_ = now;
     news(now, {What::member, self_, 0});
     // Not in step with the others that start at the same moment.
     next_probe_ = now + options_.probe_period * random_.unit();
@@ -76,7 +83,7 @@
 }
 
 Millis Replica::due() const {
-    Millis first = std::min({next_gossip_, next_probe_, next_sync_, next_pull_, next_expiry_});
+    Millis first = std::min({next_gossip_, shout_at_, next_probe_, next_sync_, next_pull_, next_expiry_});
     if (probe_.open) first = std::min(first, probe_.again);
     for (const auto& [id, until] : suspects_) first = std::min(first, until);
     for (const auto& [id, at] : calls_) first = std::min(first, at);
@@ -105,6 +112,7 @@
         next_sync_ = now + options_.sync_period * (0.75 + 0.5 * random_.unit());
         sync(out);
     }
+    if (now >= shout_at_) shout(now, out);
     if (now >= next_gossip_) gossip(now, out);
     if (dirty_ && now >= looked_ + kLookPeriod) look(now, out);
 }
@@ -131,7 +139,7 @@
     news(now, {What::member, self_, 0});
     for (int round = 0; round < 2; ++round) gossip(now, out);
     left_ = true;
-    next_gossip_ = next_probe_ = next_sync_ = next_pull_ = next_expiry_ = kNever;
+    next_gossip_ = shout_at_ = next_probe_ = next_sync_ = next_pull_ = next_expiry_ = kNever;
     suspects_.clear(), calls_.clear(), probe_.open = false, dirty_ = false;
 }
 
@@ -200,10 +208,14 @@
     std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(most), order.end(),
                       [](const auto& a, const auto& b) { return a->second < b->second; });
     const int enough = repeats();
+    const int enough_few = std::max(2, static_cast<int>(std::ceil(kFewRepeats * enough)));
     for (std::size_t i = 0; i < most; ++i) {
         const auto item = item_of(order[i]->first);
         if (item && !datagram.add(*item)) continue;
-        if (!item || ++order[i]->second >= enough) news_.erase(order[i]);
+        const auto* m = item ? std::get_if<MemberItem>(&*item) : nullptr;
+        const bool few = order[i]->first.what == What::evidence ||
+                         (m && m->standing.status == Status::alive && m->standing.incarnation == 0);
+        if (!item || ++order[i]->second >= (few ? enough_few : enough)) news_.erase(order[i]);
     }
 }
 
@@ -216,6 +228,21 @@
     next_gossip_ = news_.empty() ? kNever : now + options_.gossip_period;
 }
 
+// What few know yet and all should goes to all at once, within a share of what the whole tier may shout.
+void Replica::shout(Millis now, std::vector<Outgoing>& out) {
+    shout_at_ = kNever;
+    Datagram datagram = head(Kind::shout);
+    for (const ServerKey server : loud_)
+        if (const auto item = item_of({What::evidence, self_, server}))
+            if (!datagram.add(*item)) news(now, {What::evidence, self_, server});
+    loud_.clear();
+    if (datagram.items.empty()) return;
+    out.push_back({kAll, encode(datagram)});
+    ++counts_.shouts;
+    counts_.sent += states_.size() - 1;
+    counts_.sent_bytes += out.back().bytes.size() * (states_.size() - 1);
+}
+
 // Others at random: those believed alive, and where there are too few of them anybody.
 std::vector<MemberId> Replica::some(std::size_t count, bool only_alive) {
     std::vector<MemberId> likely, rest;
@@ -375,8 +402,14 @@
     const bool answer_to_me = d.kind == Kind::gossip && d.token != 0;
     for (const Item& item : d.items) {
         bool changed = false;
-        if (const auto* m = std::get_if<MemberItem>(&item)) changed = take(now, from, *m);
-        if (const auto* e = std::get_if<EvidenceItem>(&item)) changed = take(now, from, *e);
+        if (const auto* m = std::get_if<MemberItem>(&item)) {
+            changed = take(now, from, *m);
+            // What an answer brings of those alive, others have had before.
+            if (changed && answer_to_me && m->standing.status == Status::alive && m->member != self_)
+                news_.erase({What::member, m->member, 0});
+        }
+        if (const auto* e = std::get_if<EvidenceItem>(&item))
+            changed = take(now, from, *e, d.kind != Kind::shout);
         if (const auto* v = std::get_if<VersionsItem>(&item)) changed = take(now, from, *v);
         counts_.repaired += changed && answer_to_me;
     }
@@ -407,6 +440,8 @@
             }
             break;
         }
+        case Kind::shout:
+            break;
         case Kind::gossip:
             if (d.token != 0 && d.subject != 0 && next_pull_ < kNever &&
                 std::find(answered_.begin(), answered_.end(), from) == answered_.end()) {
@@ -449,7 +484,7 @@
     return changed || raised;
 }
 
-bool Replica::take(Millis now, MemberId from, const EvidenceItem& item) {
+bool Replica::take(Millis now, MemberId from, const EvidenceItem& item, bool pass_on) {
     if (item.origin >= states_.size()) return ++counts_.unknown_members, false;
     if (!believable(now, item.life) || item.left == 0) return false;
     if (item.origin == self_) {
@@ -466,7 +501,7 @@
     if (state.standing().life != life) standing_changed(now, item.origin);
     dirty_ = true;  // that it came firsthand may be all that is new
     const auto complaints = complaints_.find(item.server);
-    if (changed && (complaints == complaints_.end() || complaints->second < kNewsOrigins))
+    if (changed && pass_on && (complaints == complaints_.end() || complaints->second.first < kNewsOrigins))
         news(now, {What::evidence, item.origin, item.server});
     return changed;
 }
@@ -529,7 +564,15 @@
     now_ = std::max(now_, now);
     if (own_count_ >= kMostCount) new_life(now, own().standing().life + 1);
     own().join(own().standing().life, server, {++own_count_, evidence, now + kEvidenceLife, true});
-    news(now, {What::evidence, self_, server});
+    const auto known = complaints_.find(server);
+    const bool few = known == complaints_.end() || known->second.second < kWitnesses;
+    const double each = options_.shouts / static_cast<double>(states_.size());
+    voice_ = std::min(kVoice, voice_ + each * std::max(0.0, now - voice_at_) / 1000), voice_at_ = now;
+    const bool accuses = evidence.bad > 0 || (evidence.flags & kRemoved);
+    if (!accuses || !few || (shout_at_ == kNever && voice_ < 1))
+        return news(now, {What::evidence, self_, server});
+    if (shout_at_ == kNever) voice_ -= 1, shout_at_ = now + kBreath;
+    if (std::find(loud_.begin(), loud_.end(), server) == loud_.end()) loud_.push_back(server);
 }
 
 void Replica::say(Millis now, const Versions& versions) {
@@ -732,7 +775,7 @@
     complaints_.clear();
     for (auto& [server, sum] : sums) {
         if (sum.all.paced > 0) sum.all.pace = sum.pace / 64.0 / sum.all.paced;
-        complaints_[server] = sum.all.complaints;
+        complaints_[server] = {sum.all.complaints, sum.all.witnesses};
         if (sum.all.complaints >= kWitnesses && sum.all.witnesses < kWitnesses) hearsay[server] = sum.hearsay;
         view.push_back(sum.all);
     }
--- a/src/fleet/replica.hpp
+++ b/src/fleet/replica.hpp
@@ -20,6 +20,8 @@
 
 namespace kelplb::fleet {
 
+constexpr MemberId kAll = 0xffff;  // as a receiver: every other member
+
 struct Outgoing {
     MemberId to = 0;
     Bytes bytes;
@@ -31,6 +33,7 @@
     int indirect = 3;            // so many of them
     Millis gossip_period = 100;  // while there is news it goes out as often,
     int fanout = 3;              // to so many
+    double shouts = 200;         // datagrams a second that all members' calls to all may bring each of them
     Millis sync_period = 2000;   // a digest goes to one other as often
     double repeats = 3;          // news is sent on this times log10(members + 1) times
     double suspicion = 1.0;      // a suspect has this times log2(members + 1) probe periods to refute it
@@ -81,6 +84,7 @@
         std::uint64_t refuted = 0;                    // what was said of this sidecar and is not so
         std::uint64_t suspected = 0, died = 0;        // by this sidecar's own probes and timers
         std::uint64_t syncs = 0, repaired = 0;        // digests sent; items that changed something in answers
+        std::uint64_t shouts = 0;                     // datagrams to all
         std::uint64_t confirmations = 0;              // origins asked for what is said in their names
         std::uint64_t stalls = 0;                     // this process stood still
         std::uint64_t unanswered = 0;                 // calls beyond the allowance
@@ -108,6 +112,7 @@
         bool open = false;
     };
 
+    void shout(Millis now, std::vector<Outgoing>& out);
     Datagram head(Kind kind) const;
     void send(MemberId to, Datagram datagram, std::vector<Outgoing>& out, bool with_news = true);
     void add_news(Datagram& datagram, MemberId to);
@@ -117,7 +122,7 @@
 
     void heard(Millis now, MemberId from, const Datagram& datagram, std::vector<Outgoing>& out);
     bool take(Millis now, MemberId from, const MemberItem& item);
-    bool take(Millis now, MemberId from, const EvidenceItem& item);
+    bool take(Millis now, MemberId from, const EvidenceItem& item, bool pass_on);
     bool take(Millis now, MemberId from, const VersionsItem& item);
     bool believable(Millis now, std::uint32_t life);
     void standing_changed(Millis now, MemberId id);
@@ -164,6 +169,10 @@
     Millis last_new_life_ = -1e18;
 
     std::map<NewsKey, int> news_;  // how often each has been sent on
+    std::vector<ServerKey> loud_;  // own evidence that all are told of
+    Millis shout_at_ = kNever;
+    double voice_ = 0;  // shouts allowed now
+    Millis voice_at_ = 0;
     Millis next_gossip_ = kNever, last_gossip_ = -1e18;
 
     std::vector<MemberId> round_;  // whom to probe next, in a random order each time round
@@ -185,10 +194,11 @@
     Millis allowance_at_ = 0;
 
     std::vector<ServerEvidence> view_;
-    std::map<ServerKey, std::uint32_t> complaints_;  // origins that complain, by server; as of the view
-    bool dirty_ = false;                             // the view may have changed,
-    bool moved_ = false;                             // and what is known of members or versions has
-    std::map<MemberId, Millis> asked_;               // to confirm what is said in its name, and when
+    // Origins that complain, by server, and those of them that said so themselves; as of the view.
+    std::map<ServerKey, std::pair<std::uint32_t, std::uint32_t>> complaints_;
+    bool dirty_ = false;                // the view may have changed,
+    bool moved_ = false;                // and what is known of members or versions has
+    std::map<MemberId, Millis> asked_;  // to confirm what is said in its name, and when
     Millis looked_ = -1e18;
     std::uint64_t revision_ = 0;
     Counts counts_;
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -165,6 +165,7 @@
             }
             if (e.zones.empty()) throw ExperimentError("fleet.zones", "one zone at least");
         }
+        t.take("shared", e.shared, 0, 0);
         t.finish();
     }
     if (const toml::table* servers = top.table("servers")) {
--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -49,6 +49,8 @@
     int sidecars = 10;
     std::vector<std::string> zones{"a"};  // sidecars and servers are dealt to zones in turn
 
+    bool shared = false;  // the sidecars take part in the fleet's shared state
+
     int servers = 10;
     double work_ms = 5;            // mean time of one request on a server of speed 1
     double speed_spread = 0;       // speeds are drawn evenly from [1 - spread, 1 + spread]
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -54,7 +54,10 @@
       specs_(std::move(specs)),
       config_(std::move(config)),
       state_(specs_.size()) {
-    for (const SidecarSpec& spec : specs_) std::filesystem::create_directories(folder_ / home(spec.index));
+    for (const SidecarSpec& spec : specs_) {
+        std::filesystem::create_directories(folder_ / home(spec.index));
+        std::filesystem::remove(log_path(spec.index));  // of an earlier run into the same folder
+    }
 }
 
 Fleet::~Fleet() { stop_all(std::chrono::milliseconds(0)); }
--- a/src/lab/lab.cpp
+++ b/src/lab/lab.cpp
@@ -8,6 +8,7 @@
 
 #include "lab/clients.hpp"
 #include "lab/fleet.hpp"
+#include "lab/history.hpp"
 #include "lab/record.hpp"
 #include "lab/relay.hpp"
 #include "lab/report.hpp"
@@ -24,6 +25,11 @@
 
 constexpr auto kStopGrace = 6s;  // SIGTERM to SIGKILL at the end: the sidecar finishes what it holds first
 
+double wall_ms() {
+    return std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
 std::string loopback(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
 
 Clock::duration seconds(double s) {
@@ -137,13 +143,18 @@
                    {"datagrams_oversize", relay_.oversize()},
                    {"faults", faults_done_},
                    {"faults_failed", faults_failed_}};
+        for (int i = 0; i < e_.sidecars; ++i) history_.read_log(i, fleet_->log_path(i));
+        extra["shared"] = history_.figures(e_.servers);
         json summary = write_report(options_.out, e_, recorder_, extra);
         event({{"event", "report"}, {"folder", options_.out.string()}});
         return summary;
     }
 
 private:
-    void event(const json& fields) { log_->info(fields.dump()); }
+    void event(const json& fields) {
+        log_->info(fields.dump());
+        history_.happened(wall_ms(), fields);
+    }
 
     json hosts() const {
         json list = json::array();
@@ -199,7 +210,8 @@
                 {"idle-close-ms", e_.idle_close_ms},
                 {"max-retry-after-ms", 2000}}},
               {"rules", {{"cold-from", e_.cold_from}, {"fall-multiple", 3}, {"warm-within-ms", e_.warm_ms}}},
-              {"fees", {{"cross-zone", 0.01}, {"probe", 0.01}}}}}};
+              {"fees", {{"cross-zone", 0.01}, {"probe", 0.01}}}}},
+            {"cobaltshift", {{"fleet", {{"enabled", e_.shared}}}}}};
     }
 
     void watch_children() {
@@ -371,6 +383,7 @@
     std::shared_ptr<spdlog::logger> log_;
     asio::io_context io_;
     Recorder recorder_;
+    History history_;
     Discovery discovery_;
     Relay relay_;
     asio::signal_set children_;
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -8,6 +8,8 @@
 #include <fstream>
 #include <numeric>
 
+#include "lab/history.hpp"
+
 namespace kelplb::lab {
 
 double jain(const std::vector<double>& values) {
@@ -59,14 +61,6 @@
     return f;
 }
 
-double percentile(std::vector<double> values, double p) {
-    if (values.empty()) return 0;
-    std::sort(values.begin(), values.end());
-    const auto at =
-        static_cast<std::size_t>(std::ceil(p * static_cast<double>(values.size()))) - (p > 0 ? 1 : 0);
-    return values[std::min(at, values.size() - 1)];
-}
-
 void plot(const std::filesystem::path& folder) {
     const std::filesystem::path script = folder / "plot.gp";
     {
--- a/src/lab/simnet.cpp
+++ b/src/lab/simnet.cpp
@@ -69,7 +69,14 @@
 }
 
 void SimFleet::after(std::size_t i, std::vector<fleet::Outgoing>& out) {
-    for (fleet::Outgoing& o : out) inject(i, o.to, std::move(o.bytes));
+    for (fleet::Outgoing& o : out) {
+        if (o.to != fleet::kAll) {
+            inject(i, o.to, std::move(o.bytes));
+            continue;
+        }
+        for (std::size_t to = 0; to < members_.size(); ++to)
+            if (to != i) inject(i, to, o.bytes);
+    }
     out.clear();
     Member& m = members_[i];
     const Millis due = m.replica->due() - m.offset;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -12,6 +12,7 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 
+#include "fleet/records.hpp"
 #include "net/fields.hpp"
 #include "net/log.hpp"
 #include "settings.hpp"
@@ -267,6 +268,20 @@
     if (trial.min_samples == 0) field["min_samples"].complain("must be over 0");
 }
 
+void read_fleet(FleetConfig& fleet, const Field& field) {
+    if (field.has("enabled")) fleet.enabled = field["enabled"].flag();
+    const auto period = [&](const char* name, Millis& into, Millis least) {
+        if (!field.has(name)) return;
+        into = field[name].time();
+        if (into < least || into > 60000)
+            field[name].complain("is not between " + std::to_string(static_cast<int>(least)) +
+                                 " and 60000 ms");
+    };
+    period("probe_ms", fleet.probe_period, 100);
+    period("gossip_ms", fleet.gossip_period, 20);
+    period("sync_ms", fleet.sync_period, 200);
+}
+
 void read_own(Config& c, const Field& own) {
     if (own.has("admin")) {
         const Field at = own["admin"]["listen"];
@@ -280,6 +295,7 @@
         if (state.has("lived_ms")) c.lived = state["lived_ms"].time();
     }
     if (own.has("trial")) read_trial(c.trial, own["trial"]);
+    if (own.has("fleet")) read_fleet(c.fleet, own["fleet"]);
 }
 
 Config read_all(const json& value, Complaints& complaints) {
@@ -355,6 +371,12 @@
 ConfigError::ConfigError(const std::string& field, const std::string& what)
     : ConfigError(std::vector<Complaint>{{field, what}}) {}
 
+bool Config::shares() const {
+    return fleet.enabled && settings.may_tell && peer_listen && settings.siblings > 1 &&
+           settings.siblings <= kelplb::fleet::kMostMembers && settings.my_number < settings.siblings &&
+           peers.size() >= settings.siblings;
+}
+
 std::size_t Config::class_index(std::string_view class_name) const {
     return static_cast<std::size_t>(std::find(classes.begin(), classes.end(), class_name) - classes.begin());
 }
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -52,6 +52,13 @@
     std::size_t min_samples = 50;
 };
 
+// The sidecar's part in the fleet's shared state (docs/FLEET-STATE.md).
+struct FleetConfig {
+    bool enabled = false;
+    Millis probe_period = 1000, gossip_period = 100, sync_period = 2000;
+    bool operator==(const FleetConfig&) const = default;
+};
+
 struct Config {
     std::string name;
     tcp::endpoint listen;
@@ -65,6 +72,7 @@
     std::optional<HostList> known;
     std::optional<tcp::endpoint> admin;
     TrialRule trial;
+    FleetConfig fleet;
     std::string state_dir;  // empty: none
     Millis lived = 2000;
 
@@ -79,6 +87,8 @@
     // What it was read from, without what is unknown or read at the start only.
     std::string document;
 
+    // Whether it takes part in the shared state: it is asked to, may tell, and knows its place in the fleet.
+    bool shares() const;
     // Index of a class by its name; classes.size() if there is none.
     std::size_t class_index(std::string_view class_name) const;
 };
--- a/src/net/fields.cpp
+++ b/src/net/fields.cpp
@@ -40,6 +40,12 @@
      "a trial ends badly when the share served falls by more than this (0.05)"},
     {"cobaltshift.trial.min_samples", live, "whole number",
      "and is judged by no fewer answers than this (50)"},
+    {"cobaltshift.fleet.enabled", live, "flag",
+     "whether it takes part in the fleet's shared state (false); needs `peers` and a number below "
+     "`siblings`"},
+    {"cobaltshift.fleet.probe_ms", live, "time", "how often another member is probed (1000)"},
+    {"cobaltshift.fleet.gossip_ms", live, "time", "how often news goes out while there is some (100)"},
+    {"cobaltshift.fleet.sync_ms", live, "time", "how often a digest is compared with another's (2000)"},
     {"settings.classes[].name", live, "text", "the class, as in `X-Service-Class`"},
     {"settings.classes[].effect", live, "word", "`repeatable`, `by_key` or `once`"},
     {"settings.classes[].dedup-scope", live, "word", "`all`, `zone` or `cell`"},
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -140,6 +140,9 @@
     listener_.on_misfit = [this](const SnapshotPtr& snapshot, const HttpRequest& head) {
         misfit(snapshot, head);
     };
+    sidecar_.on_share = [this](fleet::ServerKey server, const fleet::Evidence& evidence) {
+        if (shared_) shared_->say(server, evidence);
+    };
     listener_.listen(config.listen);
     if (config.admin) admin_ = std::make_unique<Admin>(io, *this, *config.admin);
     sidecar_.start();
@@ -149,6 +152,7 @@
     lived_after_ = config.lived;
     keep_config();
     if (keeper_) keep_on();
+    share(config);
 }
 
 Node::~Node() {
@@ -163,6 +167,7 @@
     if (stopped_) return;
     stopped_ = std::move(done);
     trial_timer_.cancel();  // it stays undecided
+    if (shared_) shared_->leave();
     stop_at_ = clock_.now() + sidecar_.snapshot()->config.longest_deadline + kLastMoment;
     listener_.drain(stop_at_ - kTellAll);
     timer_.expires_after(kAcceptOn);
@@ -179,6 +184,7 @@
     auto snapshot = std::make_shared<Snapshot>();
     snapshot->generation = generation;
     Settings settings = config.settings;
+    settings.share = config.shares();
     if (config.my_zone) settings.my_zone = zones_.number(*config.my_zone);
     snapshot->settings = std::make_shared<const Settings>(std::move(settings));
     snapshot->config = std::move(config);
@@ -189,10 +195,28 @@
     if (!config.peer_listen || !config.settings.may_tell) return nullptr;
     return std::make_shared<Peers>(io_, *config.peer_listen,
                                    [this](std::uint32_t from, std::vector<std::uint8_t> bytes) {
-                                       sidecar_.peer_said(from, std::move(bytes));
+                                       if (!fleet::is_shared_state(bytes))
+                                           return sidecar_.peer_said(from, std::move(bytes));
+                                       if (shared_) shared_->heard(from, bytes);
                                    });
 }
 
+// Its place in the fleet may be another from here on; what it said so far is then forgotten by its life's
+// end.
+void Node::share(const Config& config) {
+    if (shared_ && shared_->serves(config)) return;
+    if (shared_) shared_->leave();
+    shared_.reset();
+    if (!config.shares() || !peers_) return;
+    shared_ = std::make_unique<Shared>(
+        io_, clock_, config,
+        Shared::Handlers{[this](std::optional<std::uint32_t> to, const std::vector<std::uint8_t>& bytes) {
+                             if (peers_) peers_->tell(to, bytes);
+                         },
+                         [this] { sidecar_.fleet_said(shared_->replica().evidence()); }});
+    shared_->start();
+}
+
 Node::Prepared Node::prepare(Config config) {
     Prepared p;
     const Config& running = sidecar_.snapshot()->config;
@@ -241,6 +265,7 @@
     } else if (peers_) {
         peers_->use(config.peers, config.peers_all);
     }
+    share(config);
     listener_.set_limits(listener_limits(config));
     discovery_.move_to(config.discovery);
     if (!config.settings.list_on_request) discovery_.watch(true);
--- a/src/net/node.hpp
+++ b/src/net/node.hpp
@@ -10,6 +10,7 @@
 #include "net/keeper.hpp"
 #include "net/listener.hpp"
 #include "net/peers.hpp"
+#include "net/shared.hpp"
 
 namespace kelplb::net {
 
@@ -70,8 +71,9 @@
     const Listener& listener() const { return listener_; }
     const Discovery& discovery() const { return discovery_; }
     const Clock& clock() const { return clock_; }
-    Peers* peers() { return peers_.get(); }           // none: nothing may be told
-    Keeper* keeper() const { return keeper_.get(); }  // none: nothing is kept
+    Peers* peers() { return peers_.get(); }                 // none: nothing may be told
+    const Shared* shared() const { return shared_.get(); }  // none: it takes no part in the shared state
+    Keeper* keeper() const { return keeper_.get(); }        // none: nothing is kept
     bool stopping() const { return static_cast<bool>(stopped_); }
     Sidecar::Held held() const { return sidecar_.held(); }
 
@@ -81,6 +83,7 @@
     Prepared prepare(Config config);
     Prepared prepare_again(const Generations::Entry& entry);
     void commit(Prepared prepared, Generations::Source source, std::uint64_t content, const TrialRule& rule);
+    void share(const Config& config);
     std::shared_ptr<Peers> open_peers(const Config& config);
     void keep_config();
     void keep_world();
@@ -98,6 +101,7 @@
     Sidecar sidecar_;
     Listener listener_;
     std::shared_ptr<Peers> peers_;
+    std::unique_ptr<Shared> shared_;
     Discovery discovery_;
     std::unique_ptr<Admin> admin_;
     asio::steady_timer timer_, trial_timer_, keep_timer_;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -9,6 +9,7 @@
 #include "net/discovery.hpp"
 #include "net/log.hpp"
 #include "net/peers.hpp"
+#include "net/shared.hpp"
 
 namespace kelplb::net {
 
@@ -170,6 +171,18 @@
     push(std::move(event));
 }
 
+void Sidecar::fleet_said(const std::vector<fleet::ServerEvidence>& evidence) {
+    std::unordered_map<fleet::ServerKey, ServerId> by_key;
+    for (const auto& [id, s] : servers_)
+        if (s.listed) by_key.emplace(server_key(id, s.born), id);
+    FleetView event;
+    for (const fleet::ServerEvidence& e : evidence)
+        if (const auto id = by_key.find(e.server); id != by_key.end())
+            event.servers.push_back(
+                {id->second, e.good, e.bad, e.complaints, e.witnesses, e.restored, e.paced, e.pace});
+    push(std::move(event));
+}
+
 void Sidecar::list_failed() { push(ServerList{ListKind::failed, {}}); }
 
 void Sidecar::peer_said(std::uint32_t from, std::vector<std::uint8_t> bytes) {
@@ -333,6 +346,18 @@
     peers_->tell(a.to, a.bytes);
 }
 
+void Sidecar::carry_out(const Share& a) {
+    const auto s = servers_.find(a.server);
+    if (s == servers_.end() || !on_share) return;
+    const auto byte = [](double value) { return static_cast<std::uint8_t>(std::clamp(value, 0.0, 255.0)); };
+    fleet::Evidence e;
+    e.good = byte(std::round(a.good)), e.bad = byte(std::round(a.bad));
+    e.pace = byte(std::round(a.pace * 64));
+    e.flags =
+        static_cast<std::uint8_t>((a.removed ? fleet::kRemoved : 0) | (a.restored ? fleet::kRestored : 0));
+    on_share(server_key(a.server, s->second.born), e);
+}
+
 void Sidecar::carry_out(const Subscribe& a) {
     if (snapshot_->settings->list_on_request && discovery_) discovery_->watch(a.active);
 }
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "fleet/records.hpp"
 #include "kelplb/balancer.hpp"
 #include "net/clock.hpp"
 #include "net/config.hpp"
@@ -62,6 +63,9 @@
     // The final answer of each request, by the generation that it began with.
     std::function<void(std::uint64_t generation, bool served)> on_answer;
 
+    // What is to be shared with the other sidecars, by the server's key.
+    std::function<void(fleet::ServerKey server, const fleet::Evidence& evidence)> on_share;
+
     // From clients. The answer comes later, through the client.
     RequestId arrived(RequestPtr request, Millis time_left, std::weak_ptr<Client> client,
                       SnapshotPtr snapshot);
@@ -70,6 +74,8 @@
     // From discovery and from other sidecars.
     void told(const HostList& list, bool saved = false);
     void list_failed();
+    // What the other sidecars share; servers that are not listed here are passed over.
+    void fleet_said(const std::vector<fleet::ServerEvidence>& evidence);
     void peer_said(std::uint32_t from, std::vector<std::uint8_t> bytes);
 
     // For a later life, and from an earlier one.
@@ -149,6 +155,7 @@
     void carry_out(const Subscribe& a);
     void carry_out(const FetchList& a);
     void carry_out(const Log& a);
+    void carry_out(const Share& a);
 
     asio::io_context& io_;
     const Clock& clock_;
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -438,6 +438,7 @@
 }
 
 void Host::put(Instance& instance, const Action& action) {
+    if (std::holds_alternative<Share>(action)) return;  // nothing is shared on this wire
     const auto head = [&](std::string_view kind) { (reply_ += kind) += " who=" + instance.name; };
     const auto request = [&](std::string_view kind, RequestId id) {
         head(kind);
@@ -485,7 +486,7 @@
                               head("SUBSCRIBE");
                               reply_ += a.active ? " active=1" : " active=0";
                           },
-                          [&](const FetchList&) { head("READ_LIST"); },
+                          [&](const FetchList&) { head("READ_LIST"); }, [&](const Share&) {},
                           [&](const Log& a) {
                               head("PRINT");
                               reply_ += " words=";
--- a/tests/fleet_state_test.cpp
+++ b/tests/fleet_state_test.cpp
@@ -130,7 +130,7 @@
 
 RC_GTEST_PROP(Codec, RoundTripsWithin256Bytes, (std::uint32_t life, std::uint16_t token)) {
     Datagram d;
-    d.kind = static_cast<Kind>(*rc::gen::inRange(1, 8));
+    d.kind = static_cast<Kind>(*rc::gen::inRange(1, 9));
     d.life = life, d.token = token;
     for (const Item& i : *rc::gen::container<std::vector<Item>>(item()))
         if (!d.add(i)) RC_ASSERT(d.size() + size_of(i) > kLongest);
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -185,4 +185,61 @@
     EXPECT_EQ(lines, 1 + 8 * 8);  // a line a server and second
 }
 
+// Real processes that share what they see: a server that fails is known to nearly all, most of them by the
+// word of others; whoever was killed has caught up when it is back; nobody sound is removed. A tenth of the
+// datagrams is lost, some come twice, and a fifth of the fleet is cut off for a while.
+TEST(Fleet, SharedStateThroughFaults) {
+    Folder folder;
+    const Experiment e = kelplb::lab::load_experiment(folder
+                                                          .file(R"(
+name = "shared"
+seed = 5
+seconds = 9
+warmup_s = 1
+[fleet]
+sidecars = 16
+zones = ["a", "b"]
+shared = true
+[servers]
+count = 20
+work_ms = 2
+[load]
+rate = 12
+time_left_ms = 800
+[relay]
+delay_ms = 3
+loss = 0.1
+duplicate = 0.1
+[[faults]]
+kind = "servers"
+at_s = 2
+share = 0.05
+mode = "fail_fast"
+for_s = 4
+[[faults]]
+kind = "partition"
+at_s = 1
+share = 0.2
+for_s = 3
+[[faults]]
+kind = "kill"
+at_s = 6
+share = 0.25
+for_s = 1
+)")
+                                                          .string());
+    const auto log =
+        std::make_shared<spdlog::logger>("test", std::make_shared<spdlog::sinks::null_sink_st>());
+    const auto summary = kelplb::lab::run_experiment(e, {KELPLB_PROGRAM, folder.path / "run"}, log);
+    EXPECT_EQ(summary["processes"]["crashed"], 0);
+    const auto& shared = summary["shared"];
+    EXPECT_EQ(shared["bad_servers"], 1);
+    EXPECT_GE(shared["removed_by"].get<double>(), 11) << shared;
+    EXPECT_GE(shared["removed_on_hearsay_after_ms"]["n"].get<int>(), 6) << shared;
+    EXPECT_EQ(shared["sound_servers_removed_on_hearsay"], 0) << shared;
+    EXPECT_GE(shared["caught_up_after_ms"]["n"].get<int>(), 16 + 4) << shared;
+    EXPECT_EQ(summary["datagrams_oversize"], 0);
+    EXPECT_EQ(summary["outcomes"]["failed"], 0);
+}
+
 }  // namespace
--- /dev/null
+++ b/tests/share_test.cpp
@@ -0,0 +1,165 @@
+// What the module makes of the evidence that sidecars share, and what it shares itself.
+#include "rig.hpp"
+
+namespace kelplb::test {
+namespace {
+
+constexpr ServerId kServers = 40;
+
+Settings sharing(bool share = true) {
+    Settings s = make_settings();
+    s.may_tell = true, s.share = share;
+    s.siblings = 60, s.my_number = 7;
+    return s;
+}
+
+struct Sharing : Rig {
+    explicit Sharing(bool share = true) : Rig(sharing(share)) {
+        list(ListKind::full, make_servers(kServers));
+    }
+    void hear(std::vector<FleetEvidence> servers) { give(FleetView{std::move(servers)}); }
+    void hear(ServerId server, std::uint32_t witnesses, std::uint32_t bad = 9, std::uint32_t good = 0) {
+        hear({{server, good, bad, witnesses, witnesses, 0, 0, 0}});
+    }
+    std::optional<Share> shared() const {
+        for (const Action& a : last)
+            if (const auto* s = std::get_if<Share>(&a)) return *s;
+        return {};
+    }
+    std::size_t removed() const { return balancer.held().removed; }
+    // Serves or fails requests until one goes to `server`.
+    bool meet(ServerId server, Outcome outcome, int requests = 400) {
+        for (int i = 0; i < requests; ++i) {
+            pass(20);
+            const RequestId id = request();
+            if (!out(id)) continue;
+            const bool met = where(id) == server;
+            end(id, met ? outcome : Outcome::completed, 10);
+            if (met) return true;
+        }
+        return false;
+    }
+    ServerId used() {
+        const RequestId id = request();
+        const ServerId server = where(id);
+        end(id, Outcome::completed, 10);
+        return server;
+    }
+};
+
+TEST(Shared, AFailureIsSharedWithWhatWentWellOfLate) {
+    Sharing rig;
+    const ServerId server = rig.used();
+    ASSERT_TRUE(rig.meet(server, Outcome::completed));
+    EXPECT_FALSE(rig.shared()) << "success alone is no news";
+    ASSERT_TRUE(rig.meet(server, Outcome::severed));
+    const auto share = rig.shared();
+    ASSERT_TRUE(share);
+    EXPECT_EQ(share->server, server);
+    EXPECT_NEAR(share->bad, 1, 0.01);
+    EXPECT_GT(share->good, 0);
+    EXPECT_FALSE(share->removed);
+    EXPECT_EQ(rig.count<TellPeer>(), 0) << "the note of four bytes is what this replaces";
+    Sharing alone(false);
+    ASSERT_TRUE(alone.meet(alone.used(), Outcome::severed));
+    EXPECT_FALSE(alone.shared());
+}
+
+TEST(Shared, ThreeWitnessesRemoveAServerAndTwoDoNot) {
+    Sharing rig;
+    rig.hear(5, 2);
+    EXPECT_EQ(rig.removed(), 0U);
+    rig.hear({{5, 0, 9, /*complaints=*/30, /*witnesses=*/2, 0, 0, 0}});
+    EXPECT_EQ(rig.removed(), 0U) << "what is only passed on is no witness";
+    rig.hear(5, 3, /*bad=*/3, /*good=*/60);
+    EXPECT_EQ(rig.removed(), 0U) << "share above 0.9";
+    rig.hear(5, 3);
+    EXPECT_EQ(rig.removed(), 1U);
+}
+
+TEST(Shared, HearsayRemovesATenthOfTheListAtMost) {
+    Sharing rig;
+    std::vector<FleetEvidence> lies;
+    for (ServerId id = 1; id <= kServers; ++id) lies.push_back({id, 0, 200, 50, 50, 0, 0, 0});
+    for (int i = 0; i < 100; ++i) {
+        rig.hear(lies);
+        rig.pass(100);
+        EXPECT_LE(rig.removed(), kServers / 10);
+    }
+    EXPECT_EQ(rig.removed(), kServers / 10);
+    EXPECT_TRUE(rig.out(rig.request()));
+}
+
+TEST(Shared, OwnFreshSuccessesGoBeforeHearsay) {
+    Sharing rig;
+    const ServerId server = rig.used();
+    rig.hear(server, 1);
+    for (int i = 0; i < 4; ++i) ASSERT_TRUE(rig.meet(server, Outcome::completed));
+    rig.hear(server, 8, 40);
+    EXPECT_EQ(rig.removed(), 0U);
+    // What went well before anybody complained contradicts nothing.
+    Sharing before;
+    const ServerId other = before.used();
+    for (int i = 0; i < 4; ++i) ASSERT_TRUE(before.meet(other, Outcome::completed));
+    before.hear(other, 8, 40);
+    EXPECT_EQ(before.removed(), 1U);
+}
+
+TEST(Shared, WhoSeesItWorkSaysSo) {
+    Sharing rig;
+    const ServerId server = rig.used();
+    rig.hear(server, 1);
+    bool said = false;
+    for (int i = 0; i < 4 && !said; ++i) {
+        ASSERT_TRUE(rig.meet(server, Outcome::completed));
+        said = rig.shared().has_value();
+    }
+    EXPECT_TRUE(said);
+    EXPECT_EQ(rig.shared()->bad, 0);
+}
+
+TEST(Shared, AfterTheBackoffATrialBringsItBackAndIsShared) {
+    Sharing rig;
+    const ServerId server = rig.used();
+    rig.hear(server, 5);
+    ASSERT_EQ(rig.removed(), 1U);
+    EXPECT_FALSE(rig.meet(server, Outcome::completed, 300)) << "not within its 10 s";
+    rig.pass(2000);
+    rig.hear(std::vector<FleetEvidence>{});
+    ASSERT_TRUE(rig.meet(server, Outcome::completed));
+    EXPECT_EQ(rig.removed(), 0U);
+    ASSERT_TRUE(rig.shared());
+    EXPECT_TRUE(rig.shared()->restored);
+}
+
+TEST(Shared, AnothersSuccessBringsTheTrialForward) {
+    Sharing rig;
+    const ServerId server = rig.used();
+    rig.hear(server, 5);
+    ASSERT_EQ(rig.removed(), 1U);
+    rig.hear({{server, 5, 9, 5, 5, /*restored=*/1, 0, 0}});
+    EXPECT_EQ(rig.removed(), 1U) << "a trial of its own is still to come";
+    rig.pass(2000);
+    EXPECT_TRUE(rig.meet(server, Outcome::completed, 200));
+}
+
+TEST(Shared, AnotherProcessUnderTheNameIsNotBlamed) {
+    Sharing rig;
+    rig.hear(5, 5);
+    ASSERT_EQ(rig.removed(), 1U);
+    auto again = make_servers(kServers);
+    again[4].online_since = rig.now;
+    rig.list(ListKind::full, again);
+    EXPECT_EQ(rig.removed(), 0U);
+}
+
+TEST(Shared, TurnedOffNothingOfItIsHeeded) {
+    Sharing rig;
+    rig.change(sharing(false));
+    const ServerId server = rig.used();
+    ASSERT_TRUE(rig.meet(server, Outcome::severed));
+    EXPECT_FALSE(rig.shared());
+}
+
+}  // namespace
+}  // namespace kelplb::test
