--- a/include/kelplb/balancer.hpp
+++ b/include/kelplb/balancer.hpp
@@ -153,9 +153,10 @@
     std::uint32_t good = 0, bad = 0;  // outcomes
     std::uint32_t complaints = 0;     // sidecars it failed, or that have it out of their pools,
     std::uint32_t witnesses = 0;      // and those of them that said so themselves
-    std::uint32_t restored = 0;       // sidecars whose trial it has just passed
-    std::uint32_t paced = 0;          // sidecars that told how long its answers take,
-    double pace = 0;                  // against their aim, on average
+    std::uint32_t closed = 0;    // sidecars that said themselves that on their lists it drains or is gone
+    std::uint32_t restored = 0;  // sidecars whose trial it has just passed
+    std::uint32_t paced = 0;     // sidecars that told how long its answers take,
+    double pace = 0;             // against their aim, on average
 };
 // All there is: whoever is not named, nobody speaks of.
 struct FleetView {
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -85,6 +85,7 @@
     Millis counted_at = 0, shared_at = -kRefresh;
     bool said_crowded = false;
     bool by_hearsay = false;        // removed on the word of others
+    bool shut = false;              // on the others' lists: nothing new goes to it
     FleetEvidence fleet{};          // theirs
     std::vector<RequestId> askers;  // requests that await a probe of it
 };
@@ -247,7 +248,7 @@
         const bool subscribe = e.settings->list_on_request && !settings->list_on_request;
         settings = e.settings;
         if (!settings->share)
-            for (auto& [id, s] : servers) s.fleet = {};
+            for (auto& [id, s] : servers) s.fleet = {}, s.shut = false;
         if (subscribe) act(Subscribe{true});
         release_held();  // our part of the room may have grown
     }
@@ -287,7 +288,7 @@
         if (fresh || info.online_since > s.info.online_since) {
             s.standing = Standing::live;  // another process under the same name: its record starts anew
             s.window = 0, s.filled = 0;
-            s.good = s.bad = 0, s.said_crowded = false, s.fleet = {};
+            s.good = s.bad = 0, s.said_crowded = s.shut = false, s.fleet = {};
         }
         s.info = info;
         if (!(s.info.units > 0)) s.info.units = 1;  // nonsense: as if unknown
@@ -443,10 +444,14 @@
     void on(const FleetView& e) {
         std::map<ServerId, FleetEvidence> said;
         for (const FleetEvidence& f : e.servers) said[f.server] = f;
+        std::size_t closed = 0;
         for (auto& [id, s] : servers) {
             const bool before = s.fleet.complaints > 0;
             const auto now_said = said.find(id);
             s.fleet = now_said == said.end() ? FleetEvidence{} : now_said->second;
+            // Where the others' lists close a server that ours still has open, nothing new goes to it until
+            // ours has come: a tenth of the list at most, as with all hearsay.
+            closed += s.shut = s.listed && s.fleet.closed >= kWitnesses && within_hearsay(closed);
             // What it did well before the first complaint does not contradict it.
             if (!before && s.fleet.complaints > 0 && s.bad < 1) s.good = 0;
         }
@@ -473,12 +478,16 @@
         const double noise = std::sqrt(level * (1 - level) / kWindow);
         return witnesses >= kWitnesses && (all - bad) / all < kThreshold * level - 3 * noise;
     }
-    bool may_heed() const {
-        std::size_t listed = 0, out = 0;
-        for (const auto& [id, s] : servers)
-            if (s.listed) ++listed, out += s.by_hearsay && is_out(s);
+    bool within_hearsay(std::size_t out) const {
+        std::size_t listed = 0;
+        for (const auto& [id, s] : servers) listed += s.listed;
         return static_cast<double>(out) + 1 <= std::max(1.0, kHearsayPart * static_cast<double>(listed));
     }
+    bool may_heed() const {
+        std::size_t out = 0;
+        for (const auto& [id, s] : servers) out += s.listed && s.by_hearsay && is_out(s);
+        return within_hearsay(out);
+    }
 
     // ---- Pick -------------------------------------------------------------------------------------------
 
@@ -512,7 +521,7 @@
         std::vector<Server*> live, again;
         for (Server* s : subset()) {
             const bool due = s->standing == Standing::removed && now >= s->backoff_until;
-            if ((!due && s->standing != Standing::live) || !may_send(r, *s)) continue;
+            if ((!due && s->standing != Standing::live) || s->shut || !may_send(r, *s)) continue;
             if (due) return s;  // half-open: this request is its trial
             (r.tried(s->info.id) ? again : live).push_back(s);
         }
--- a/src/fleet/records.hpp
+++ b/src/fleet/records.hpp
@@ -53,6 +53,7 @@
 };
 constexpr std::uint8_t kRemoved = 1;   // out of the origin's own pool
 constexpr std::uint8_t kRestored = 2;  // back in it after a trial
+constexpr std::uint8_t kClosed = 4;    // on the origin's list it drains or is gone
 
 // What an origin acts on (docs/CONFIGURATION.md): its configuration's epoch and hash, its list's incarnation
 // and number. The epoch and the incarnation only grow; each orders what has the same first part.
@@ -115,6 +116,7 @@
     std::uint32_t good = 0, bad = 0;  // outcomes: good ones of all, bad ones firsthand
     std::uint32_t complaints = 0;     // origins with bad outcomes, or that have it out of their pool
     std::uint32_t witnesses = 0;      // those of them that said so themselves
+    std::uint32_t closed = 0;         // origins that said themselves that it drains or is gone
     std::uint32_t restored = 0;       // origins that have just brought it back
     std::uint32_t paced = 0;          // origins that said themselves how long its answers take
     double pace = 0;                  // the mean of that; 0: nobody did
--- a/src/fleet/replica.cpp
+++ b/src/fleet/replica.cpp
@@ -32,6 +32,7 @@
 // Evidence, and that a member has come up, goes on this share of the times: several say the same, and digests
 // find what is missing.
 constexpr double kFewRepeats = 0.4;
+constexpr int kLeastRepeats = 4;  // a few members lose as many datagrams as many do
 // What is said against a server in others' names is believed once so many of them say so themselves.
 constexpr std::uint32_t kWitnesses = 3;
 constexpr std::size_t kMostConfirmed = 8;  // asked at a time
@@ -160,6 +161,9 @@
     const OriginState& receiver = states_[to];
     if (receiver.standing().status != Status::alive)
         datagram.add(MemberItem{to, receiver.standing(), receiver.top_count()});
+    // What we act on goes with each ping and ack: whoever was cut off hears of it within a probe's time.
+    if (datagram.kind == Kind::ping || datagram.kind == Kind::ack)
+        if (const auto item = item_of({What::versions, self_, 0})) datagram.add(*item);
     if (with_news) add_news(datagram, to);
     out.push_back({to, encode(datagram)});
     ++counts_.sent;
@@ -169,7 +173,8 @@
 int Replica::repeats() const {
     const double times = options_.repeats * std::log10(static_cast<double>(states_.size()) + 1);
     // Both ways of a ping are lost alike: what gets through one way is the root of what gets through both.
-    return std::max(2, static_cast<int>(std::ceil(times / std::sqrt(1 - std::min(0.9, unanswered_)))));
+    return std::max(kLeastRepeats,
+                    static_cast<int>(std::ceil(times / std::sqrt(1 - std::min(0.9, unanswered_)))));
 }
 
 std::optional<Item> Replica::item_of(const NewsKey& key) const {
@@ -232,6 +237,9 @@
 void Replica::shout(Millis now, std::vector<Outgoing>& out) {
     shout_at_ = kNever;
     Datagram datagram = head(Kind::shout);
+    if (loud_versions_)
+        if (const auto item = item_of({What::versions, self_, 0})) datagram.add(*item);
+    loud_versions_ = false;
     for (const ServerKey server : loud_)
         if (const auto item = item_of({What::evidence, self_, server}))
             if (!datagram.add(*item)) news(now, {What::evidence, self_, server});
@@ -410,7 +418,8 @@
         }
         if (const auto* e = std::get_if<EvidenceItem>(&item))
             changed = take(now, from, *e, d.kind != Kind::shout);
-        if (const auto* v = std::get_if<VersionsItem>(&item)) changed = take(now, from, *v);
+        if (const auto* v = std::get_if<VersionsItem>(&item))
+            changed = take(now, from, *v, d.kind != Kind::shout);
         counts_.repaired += changed && answer_to_me;
     }
     switch (d.kind) {
@@ -506,7 +515,13 @@
     return changed;
 }
 
-bool Replica::take(Millis now, MemberId from, const VersionsItem& item) {
+std::size_t Replica::acting_on(const Versions& versions) const {
+    return static_cast<std::size_t>(std::count_if(states_.begin(), states_.end(), [&](const OriginState& s) {
+        return s.versions() && s.standing().status != Status::dead && s.versions()->value == versions;
+    }));
+}
+
+bool Replica::take(Millis now, MemberId from, const VersionsItem& item, bool pass_on) {
     if (item.origin >= states_.size()) return ++counts_.unknown_members, false;
     if (!believable(now, item.life)) return false;
     if (item.origin == self_) {
@@ -520,7 +535,10 @@
     Record<Versions> record{item.count, item.versions, kNever, from == item.origin};
     const bool changed = state.join(item.life, std::move(record));
     if (state.standing().life != life) standing_changed(now, item.origin);
-    if (changed) news(now, {What::versions, item.origin, 0}), dirty_ = moved_ = true;
+    if (changed) dirty_ = moved_ = true;
+    // That somebody acts on something new is news; who else does by now, digests tell.
+    if (changed && pass_on && acting_on(item.versions) <= kNewsOrigins)
+        news(now, {What::versions, item.origin, 0});
     return changed;
 }
 
@@ -557,6 +575,16 @@
     if (before.versions()) say(now, before.versions()->value);
 }
 
+// Whether what is said now may go to all: with what goes out in a moment anyway, or within the budget.
+bool Replica::may_shout(Millis now) {
+    if (shout_at_ != kNever) return true;
+    const double each = options_.shouts / static_cast<double>(states_.size());
+    voice_ = std::min(kVoice, voice_ + each * std::max(0.0, now - voice_at_) / 1000), voice_at_ = now;
+    if (voice_ < 1) return false;
+    voice_ -= 1, shout_at_ = now + kBreath;
+    return true;
+}
+
 // ---- Own records ------------------------------------------------------------------------------------------
 
 void Replica::say(Millis now, ServerKey server, Evidence evidence) {
@@ -566,20 +594,20 @@
     own().join(own().standing().life, server, {++own_count_, evidence, now + kEvidenceLife, true});
     const auto known = complaints_.find(server);
     const bool few = known == complaints_.end() || known->second.second < kWitnesses;
-    const double each = options_.shouts / static_cast<double>(states_.size());
-    voice_ = std::min(kVoice, voice_ + each * std::max(0.0, now - voice_at_) / 1000), voice_at_ = now;
-    const bool accuses = evidence.bad > 0 || (evidence.flags & kRemoved);
-    if (!accuses || !few || (shout_at_ == kNever && voice_ < 1))
-        return news(now, {What::evidence, self_, server});
-    if (shout_at_ == kNever) voice_ -= 1, shout_at_ = now + kBreath;
+    const bool accuses = evidence.bad > 0 || (evidence.flags & (kRemoved | kClosed));
+    if (!accuses || !few || !may_shout(now)) return news(now, {What::evidence, self_, server});
     if (std::find(loud_.begin(), loud_.end(), server) == loud_.end()) loud_.push_back(server);
 }
 
 void Replica::say(Millis now, const Versions& versions) {
     if (left_) return;
     now_ = std::max(now_, now);
+    const std::size_t others = acting_on(versions);
     own().join(own().standing().life, Record<Versions>{++own_count_, versions, kNever, true});
+    if (others >= kNewsOrigins) return;  // digests will tell
+    // Both: whoever misses the shout is a rule behind.
     news(now, {What::versions, self_, 0});
+    loud_versions_ = may_shout(now);
 }
 
 // ---- Repair -----------------------------------------------------------------------------------------------
@@ -760,6 +788,7 @@
             Sum& sum = sums[server];
             sum.all.server = server;
             sum.all.good += e.good;
+            sum.all.closed += record.firsthand && (e.flags & kClosed) != 0;
             sum.all.restored += (e.flags & kRestored) != 0;
             if (e.pace > 0 && record.firsthand) sum.pace += e.pace, ++sum.all.paced;
             if (e.bad == 0 && !(e.flags & kRemoved)) continue;
--- a/src/fleet/replica.hpp
+++ b/src/fleet/replica.hpp
@@ -123,7 +123,9 @@
     void heard(Millis now, MemberId from, const Datagram& datagram, std::vector<Outgoing>& out);
     bool take(Millis now, MemberId from, const MemberItem& item);
     bool take(Millis now, MemberId from, const EvidenceItem& item, bool pass_on);
-    bool take(Millis now, MemberId from, const VersionsItem& item);
+    bool take(Millis now, MemberId from, const VersionsItem& item, bool pass_on);
+    bool may_shout(Millis now);
+    std::size_t acting_on(const Versions& versions) const;  // members not dead that do
     bool believable(Millis now, std::uint32_t life);
     void standing_changed(Millis now, MemberId id);
     void refute(Millis now, const Standing& said, std::uint32_t count);
@@ -170,6 +172,7 @@
 
     std::map<NewsKey, int> news_;  // how often each has been sent on
     std::vector<ServerKey> loud_;  // own evidence that all are told of
+    bool loud_versions_ = false;
     Millis shout_at_ = kNever;
     double voice_ = 0;  // shouts allowed now
     Millis voice_at_ = 0;
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -87,9 +87,12 @@
 constexpr double kHuge = 1e9;
 
 const std::map<std::string, Fault::Kind> kKinds{
-    {"kill", Fault::Kind::kill},           {"stop", Fault::Kind::stop}, {"restart", Fault::Kind::restart},
-    {"servers", Fault::Kind::servers},     {"zone", Fault::Kind::zone}, {"discovery", Fault::Kind::discovery},
-    {"partition", Fault::Kind::partition}, {"loss", Fault::Kind::loss}};
+    {"kill", Fault::Kind::kill},           {"stop", Fault::Kind::stop},
+    {"restart", Fault::Kind::restart},     {"servers", Fault::Kind::servers},
+    {"zone", Fault::Kind::zone},           {"discovery", Fault::Kind::discovery},
+    {"partition", Fault::Kind::partition}, {"loss", Fault::Kind::loss},
+    {"drain", Fault::Kind::drain},         {"anew", Fault::Kind::anew},
+    {"stall", Fault::Kind::stall},         {"settings", Fault::Kind::settings}};
 
 const std::map<std::string, ServerMode> kModes{{"ok", ServerMode::ok},
                                                {"silent", ServerMode::silent},
@@ -126,6 +129,7 @@
     fault.inbound = direction != "out";
     fault.outbound = direction != "in";
     t.take("probability", fault.probability, 0, 1);
+    t.take("rollout", fault.rollout, 0, 1);
     t.finish();
     return fault;
 }
@@ -166,6 +170,7 @@
             if (e.zones.empty()) throw ExperimentError("fleet.zones", "one zone at least");
         }
         t.take("shared", e.shared, 0, 0);
+        t.take("agreement", e.agreement, 0, 0);
         t.finish();
     }
     if (const toml::table* servers = top.table("servers")) {
--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -30,6 +30,10 @@
         discovery,  // discovery answers 503 for `for_s`
         partition,  // datagrams to and/or from a share of the sidecars are dropped for `for_s`
         loss,       // datagrams between all sidecars are lost with `probability` for `for_s`
+        drain,      // a share of the servers is DRAINING on the list for `for_s`
+        anew,       // discovery ends all connections and counts its lists from a lower number on
+        stall,      // the watches of a share of the sidecars are told nothing for `for_s`
+        settings,   // a new epoch in every file, for a `rollout` share; a share of the sidecars gets SIGHUP
     };
     Kind kind;
     double at_s = 0, for_s = 0, share = 0;
@@ -37,6 +41,7 @@
     std::string zone;
     bool inbound = true, outbound = true;  // partition: which directions are cut
     double probability = 0;                // loss
+    double rollout = 1;                    // settings
 };
 
 struct Experiment {
@@ -49,7 +54,8 @@
     int sidecars = 10;
     std::vector<std::string> zones{"a"};  // sidecars and servers are dealt to zones in turn
 
-    bool shared = false;  // the sidecars take part in the fleet's shared state
+    bool agreement = true;  // and ask for newer versions that others act on
+    bool shared = false;    // the sidecars take part in the fleet's shared state
 
     int servers = 10;
     double work_ms = 5;            // mean time of one request on a server of speed 1
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -64,17 +64,24 @@
 
 std::filesystem::path Fleet::log_path(int sidecar) const { return folder_ / home(sidecar) / "log"; }
 
-bool Fleet::start(int sidecar) {
-    State& state = state_[static_cast<std::size_t>(sidecar)];
-    if (state.pid > 0) return true;
-    const std::filesystem::path place = folder_ / home(sidecar);
-    const std::string config = (place / "config.json").string();
+bool Fleet::rewrite(int sidecar) {
+    const std::string config = (folder_ / home(sidecar) / "config.json").string();
     {
         std::ofstream file(config + ".new");
-        file << config_(specs_[static_cast<std::size_t>(sidecar)], state.starts).dump();
+        file << config_(specs_[static_cast<std::size_t>(sidecar)],
+                        state_[static_cast<std::size_t>(sidecar)].starts)
+                    .dump();
         if (!file) return false;
     }
     std::filesystem::rename(config + ".new", config);
+    return true;
+}
+
+bool Fleet::start(int sidecar) {
+    State& state = state_[static_cast<std::size_t>(sidecar)];
+    if (state.pid > 0) return true;
+    if (!rewrite(sidecar)) return false;
+    const std::string config = (folder_ / home(sidecar) / "config.json").string();
     const std::string log = log_path(sidecar).string();
     const std::string variable = "NODE_CONFIG=" + config;
     std::vector<char*> environment;
--- a/src/lab/fleet.hpp
+++ b/src/lab/fleet.hpp
@@ -33,6 +33,7 @@
     Fleet& operator=(const Fleet&) = delete;
 
     bool start(int sidecar);               // false where the program could not be started
+    bool rewrite(int sidecar);             // its file as it would be started with now
     void signal(int sidecar, int signal);  // to a running one only
     bool running(int sidecar) const { return state_[static_cast<std::size_t>(sidecar)].pid > 0; }
     void reap();  // collects every child that has ended, without waiting
--- a/src/lab/history.cpp
+++ b/src/lab/history.cpp
@@ -69,8 +69,10 @@
     if (what == "fault") {
         open_[number] = {at, 0};
         if (event.contains("servers")) open_servers_[number] = event["servers"].get<std::vector<int>>();
-        if (event.contains("sidecars") && event.value("kind", "") != "partition")
-            open_sidecars_[number] = event["sidecars"].get<std::vector<int>>();
+        if (event.value("rollout", 1.0) < 1) staged_.insert(event.value("epoch", 0u));
+        if (event.contains("sidecars")) open_sidecars_[number] = event["sidecars"].get<std::vector<int>>();
+    } else if (what == "load_over") {
+        over_ = at;
     } else if (what == "fault_over" || what == "fault_failed") {
         Span span = open_[number];
         span.to = at;
@@ -91,6 +93,11 @@
         removals_[*server].push_back({sidecar, line.at, text.find("on the word of") != text.npos});
     if (text.rfind("caught up with the fleet after ", 0) == 0)
         catch_up_.push_back(std::atof(line.text.c_str() + 31));
+    Acts a;
+    a.at = line.at;
+    if (std::sscanf(line.text.c_str(), "acts on settings %u.%x list %u.%u", &a.settings.first,
+                    &a.settings.second, &a.list.first, &a.list.second) == 4)
+        acts_[sidecar].push_back(a);
     if (text.find("lines left out") != text.npos)
         left_out_ += static_cast<std::size_t>(std::atol(line.text.c_str()));
 }
@@ -102,6 +109,43 @@
            });
 }
 
+// Who is killed, stopped or cut off is held to it from its return on.
+double History::held_from(int sidecar, double since, double until) const {
+    for (const auto& [who, span] : away_)
+        if (who == sidecar && span.from <= until && span.to >= since) since = std::max(since, span.to);
+    return since;
+}
+
+// How long after the first of all each sidecar came to act on each version, or a later one: for so long two
+// acted on contradicting ones.
+json History::lags(bool of_lists) const {
+    std::map<std::pair<std::uint32_t, std::uint32_t>, double> first;
+    for (const auto& [sidecar, all] : acts_)
+        for (const Acts& a : all) {
+            const auto& place = of_lists ? a.list : a.settings;
+            const auto [at, fresh] = first.try_emplace(place, a.at);
+            if (!fresh) at->second = std::min(at->second, a.at);
+        }
+    std::vector<double> lags;
+    std::size_t never = 0, changes = 0;
+    for (const auto& [place, since] : first) {
+        if (place == first.begin()->first || since > over_) continue;  // what they all started with
+        if (!of_lists && staged_.count(place.first)) continue;
+        ++changes;
+        for (const auto& [sidecar, all] : acts_) {
+            const auto at = std::find_if(all.begin(), all.end(), [&, p = place](const Acts& a) {
+                return (of_lists ? a.list : a.settings) >= p;
+            });
+            const double until = at == all.end() ? over_ : at->at;
+            lags.push_back(std::max(0.0, until - held_from(sidecar, since, until)));
+            never += at == all.end();
+        }
+    }
+    json j = spread(lags);
+    j["changes"] = changes, j["never"] = never;
+    return j;
+}
+
 json History::figures(int servers) const {
     std::vector<double> all, hearsay;
     std::size_t sound = 0, sound_hearsay = 0, pairs = 0;
@@ -131,6 +175,8 @@
             {"sound_servers_removed", sound},
             {"sound_servers_removed_on_hearsay", sound_hearsay},
             {"caught_up_after_ms", spread(catch_up_)},
+            {"list_lag_ms", lags(true)},
+            {"settings_lag_ms", lags(false)},
             {"log_lines_left_out", left_out_}};
 }
 
--- a/src/lab/history.hpp
+++ b/src/lab/history.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,7 +39,15 @@
         double at = 0;
         bool hearsay = false;
     };
+    struct Acts {  // on versions, from then on
+        double at = 0;
+        std::pair<std::uint32_t, std::uint32_t> settings, list;
+    };
     bool bad(int server, double at) const;
+    // From when on a sidecar can be held to a version that somebody acted on from `since`, and the end of the
+    // run.
+    double held_from(int sidecar, double since, double until) const;
+    nlohmann::json lags(bool of_lists) const;
 
     std::map<int, std::vector<Span>> bad_;          // servers, while a fault of their own was on
     std::map<int, Span> open_;                      // by the fault's number
@@ -47,6 +56,9 @@
     std::vector<double> catch_up_;
     std::vector<std::pair<int, Span>> away_;  // sidecars killed or stopped
     std::map<int, std::vector<int>> open_sidecars_;
+    std::map<int, std::vector<Acts>> acts_;  // by sidecar
+    std::set<std::uint32_t> staged_;         // epochs for a part of the fleet
+    double over_ = 0;                        // when load ended
     std::size_t left_out_ = 0;
 };
 
--- a/src/lab/lab.cpp
+++ b/src/lab/lab.cpp
@@ -81,6 +81,14 @@
             return "partition";
         case Fault::Kind::loss:
             return "loss";
+        case Fault::Kind::drain:
+            return "drain";
+        case Fault::Kind::anew:
+            return "anew";
+        case Fault::Kind::stall:
+            return "stall";
+        case Fault::Kind::settings:
+            return "settings";
     }
     return "?";
 }
@@ -105,7 +113,7 @@
             recorder_.server_speed(i, servers_.back()->speed());
             servers_.back()->start();
         }
-        discovery_.start();
+        discovery_.start(e_.sidecars);
         discovery_.publish(hosts());
         std::vector<SidecarSpec> specs;
         std::vector<asio::ip::tcp::endpoint> listens;
@@ -121,10 +129,7 @@
         fleet_ =
             std::make_unique<Fleet>(options_.program, options_.out / "sidecars", std::move(specs),
                                     [this](const SidecarSpec& s, int start) { return config(s, start); });
-        event({{"event", "setup"},
-               {"servers", e_.servers},
-               {"sidecars", e_.sidecars},
-               {"discovery", loopback(discovery_.port())}});
+        event({{"event", "setup"}, {"servers", e_.servers}, {"sidecars", e_.sidecars}});
         for (int i = 0; i < e_.sidecars; ++i)
             if (!fleet_->start(i)) throw std::runtime_error("could not start " + options_.program);
         watch_children();
@@ -161,14 +166,15 @@
         for (const auto& server : servers_) {
             char name[16];
             std::snprintf(name, sizeof name, "s-%03d", server->index());
-            list.push_back({{"host", name},
-                            {"dial", loopback(server->port())},
-                            {"site", e_.zones[static_cast<std::size_t>(server->index()) % e_.zones.size()]},
-                            {"class", "m"},
-                            {"block", 0},
-                            {"health", "SERVING"},
-                            {"share", 1.0},
-                            {"born_ms", born_ms_[static_cast<std::size_t>(server->index())]}});
+            list.push_back(
+                {{"host", name},
+                 {"dial", loopback(server->port())},
+                 {"site", e_.zones[static_cast<std::size_t>(server->index()) % e_.zones.size()]},
+                 {"class", "m"},
+                 {"block", 0},
+                 {"health", draining_[static_cast<std::size_t>(server->index())] ? "DRAINING" : "SERVING"},
+                 {"share", 1.0},
+                 {"born_ms", born_ms_[static_cast<std::size_t>(server->index())]}});
         }
         return list;
     }
@@ -184,7 +190,7 @@
         return {
             {"name", std::to_string(s.index).insert(0, 1, 'n')},
             {"listen", s.address + ":" + std::to_string(s.listen)},
-            {"discovery", loopback(discovery_.port())},
+            {"discovery", loopback(discovery_.port(s.index))},
             {"seed", seed},
             {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
             {"peer_listen", s.address + ":" + std::to_string(s.peer_listen)},
@@ -194,7 +200,7 @@
             {"settings",
              {{"classes", json::array({{{"name", "listen"},
                                         {"effect", "repeatable"},
-                                        {"on-time-ms", e_.on_time_ms},
+                                        {"on-time-ms", e_.on_time_ms + epoch_},
                                         {"give-up-ms", e_.time_left_ms},
                                         {"credit", 1}}})},
               {"siblings", e_.sidecars},
@@ -211,7 +217,10 @@
                 {"max-retry-after-ms", 2000}}},
               {"rules", {{"cold-from", e_.cold_from}, {"fall-multiple", 3}, {"warm-within-ms", e_.warm_ms}}},
               {"fees", {{"cross-zone", 0.01}, {"probe", 0.01}}}}},
-            {"cobaltshift", {{"fleet", {{"enabled", e_.shared}}}}}};
+            {"cobaltshift",
+             {{"epoch", epoch_},
+              {"rollout", {{"share", rollout_}}},
+              {"fleet", {{"enabled", e_.shared}, {"agreement", e_.agreement}}}}}};
     }
 
     void watch_children() {
@@ -365,6 +374,40 @@
                 relay_.heal();
                 break;
             }
+            case Fault::Kind::drain: {
+                const std::vector<int> chosen = pick(e_.servers, f.share, random);
+                for (const int i : chosen) draining_[static_cast<std::size_t>(i)] = 1;
+                discovery_.publish(hosts());
+                said["draining"] = chosen;
+                event(said);
+                co_await sleep_until(until());
+                for (const int i : chosen) draining_[static_cast<std::size_t>(i)] = 0;
+                discovery_.publish(hosts());
+                break;
+            }
+            case Fault::Kind::anew:
+                discovery_.count_anew();
+                discovery_.publish(hosts());
+                event(said);
+                break;
+            case Fault::Kind::stall: {
+                const std::vector<int> chosen = pick(e_.sidecars, f.share, random);
+                discovery_.stall(chosen);
+                said["stalled"] = chosen;
+                event(said);
+                co_await sleep_until(until());
+                discovery_.stall({});
+                break;
+            }
+            case Fault::Kind::settings: {
+                ++epoch_, rollout_ = f.rollout;
+                for (int i = 0; i < e_.sidecars; ++i) fleet_->rewrite(i);
+                const std::vector<int> chosen = pick(e_.sidecars, f.share, random);
+                said["epoch"] = epoch_, said["rollout"] = rollout_;
+                event(said);
+                for (const int i : chosen) fleet_->signal(i, SIGHUP);
+                break;
+            }
             case Fault::Kind::loss: {
                 const double before = relay_.loss();
                 relay_.set_loss(f.probability);
@@ -391,6 +434,9 @@
     std::vector<std::int64_t> born_ms_ = std::vector<std::int64_t>(static_cast<std::size_t>(e_.servers), 0);
     std::unique_ptr<Clients> clients_;
     std::unique_ptr<Fleet> fleet_;
+    std::vector<char> draining_ = std::vector<char>(static_cast<std::size_t>(e_.servers), 0);
+    std::uint32_t epoch_ = 1;  // of the settings in the sidecars' files
+    double rollout_ = 1;
     int ready_ = 0;
     double ready_after_s_ = 0;
     int faults_done_ = 0, faults_failed_ = 0;
--- a/src/lab/standins.cpp
+++ b/src/lab/standins.cpp
@@ -204,47 +204,58 @@
     open_.erase(stream);
 }
 
-Discovery::Discovery(asio::io_context& io, Recorder& recorder)
-    : io_(io), recorder_(recorder), acceptor_(io) {}
+Discovery::Discovery(asio::io_context& io, Recorder& recorder) : io_(io), recorder_(recorder) {}
 
-void Discovery::start() {
-    const tcp::endpoint at(asio::ip::address_v4::loopback(), 0);
-    acceptor_.open(at.protocol());
-    acceptor_.bind(at);
-    acceptor_.listen(4096);
-    port_ = acceptor_.local_endpoint().port();
-    asio::co_spawn(io_, accept(), asio::detached);
+void Discovery::start(int sidecars) {
+    for (int i = 0; i < sidecars; ++i) {
+        const tcp::endpoint at(asio::ip::address_v4::loopback(), 0);
+        acceptors_.push_back(std::make_unique<tcp::acceptor>(io_, at));
+        asio::co_spawn(io_, accept(i), asio::detached);
+    }
 }
 
 void Discovery::publish(nlohmann::json hosts) {
     hosts_ = std::move(hosts);
     ++seq_;
-    for (const auto& watch : watches_) watch->cancel();
-    watches_.clear();
+    for (const auto& [watch, sidecar] : watches_)
+        if (!stalled_.count(sidecar)) watch->cancel();
+}
+
+void Discovery::stall(const std::vector<int>& sidecars) { stalled_ = {sidecars.begin(), sidecars.end()}; }
+
+void Discovery::count_anew() {
+    seq_ = 0;
+    const auto open = std::move(open_);
+    open_.clear();
+    error_code ignored;
+    for (const auto& stream : open) stream->socket().close(ignored);
 }
 
-asio::awaitable<void> Discovery::accept() {
+asio::awaitable<void> Discovery::accept(int sidecar) {
+    tcp::acceptor& acceptor = *acceptors_[static_cast<std::size_t>(sidecar)];
     for (;;) {
         error_code ec;
-        tcp::socket socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, ec));
+        tcp::socket socket = co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, ec));
         if (ec == asio::error::operation_aborted) co_return;
         if (ec) {
             co_await sleep_until(Clock::now() + 10ms);
             continue;
         }
-        asio::co_spawn(io_, serve(beast::tcp_stream(std::move(socket))), asio::detached);
+        auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
+        open_.insert(stream);
+        asio::co_spawn(io_, serve(stream, sidecar), asio::detached);
     }
 }
 
-asio::awaitable<void> Discovery::serve(beast::tcp_stream stream) {
+asio::awaitable<void> Discovery::serve(std::shared_ptr<beast::tcp_stream> stream, int sidecar) {
     beast::flat_buffer buffer;
     for (;;) {
         error_code ec;
         http::request<http::string_body> request;
-        stream.expires_after(120s);
-        co_await http::async_read(stream, buffer, request, asio::redirect_error(asio::use_awaitable, ec));
+        stream->expires_after(120s);
+        co_await http::async_read(*stream, buffer, request, asio::redirect_error(asio::use_awaitable, ec));
         if (ec) break;
-        stream.expires_never();
+        stream->expires_never();
         recorder_.discovery_call();
         const std::string_view target(request.target().data(), request.target().size());
         http::response<http::string_body> response{http::status::ok, request.version()};
@@ -261,7 +272,7 @@
                 std::clamp<std::int64_t>(query_number(target, "wait_ms").value_or(0), 0, kLongestWatchMs);
             if (after && *after == seq_ && wait_ms > 0) {
                 auto watch = std::make_shared<asio::steady_timer>(io_, std::chrono::milliseconds(wait_ms));
-                watches_.insert(watch);
+                watches_.emplace(watch, sidecar);
                 error_code ignored;
                 co_await watch->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
                 watches_.erase(watch);
@@ -275,9 +286,10 @@
             if (down_) response = {http::status::service_unavailable, request.version()};
         }
         response.prepare_payload();
-        co_await http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, ec));
+        co_await http::async_write(*stream, response, asio::redirect_error(asio::use_awaitable, ec));
         if (ec || !response.keep_alive()) break;
     }
+    open_.erase(stream);
 }
 
 }  // namespace kelplb::lab
--- a/src/lab/standins.hpp
+++ b/src/lab/standins.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -80,8 +81,15 @@
 public:
     Discovery(asio::io_context& io, Recorder& recorder);
 
-    void start();
-    std::uint16_t port() const { return port_; }
+    // A socket for each sidecar, so that what one of them is told may differ.
+    void start(int sidecars);
+    std::uint16_t port(int sidecar) const {
+        return acceptors_[static_cast<std::size_t>(sidecar)]->local_endpoint().port();
+    }
+    // The watches of these are told nothing until their wait is over; none: all are told again.
+    void stall(const std::vector<int>& sidecars);
+    // As a new process: connections end, and numbers start from a lower one.
+    void count_anew();
     std::int64_t seq() const { return seq_; }
     // A new list, told to every watch at once as the whole list.
     void publish(nlohmann::json hosts);
@@ -89,18 +97,19 @@
     const nlohmann::json& hosts() const { return hosts_; }
 
 private:
-    asio::awaitable<void> accept();
-    asio::awaitable<void> serve(beast::tcp_stream stream);
+    asio::awaitable<void> accept(int sidecar);
+    asio::awaitable<void> serve(std::shared_ptr<beast::tcp_stream> stream, int sidecar);
 
     asio::io_context& io_;
     Recorder& recorder_;
-    tcp::acceptor acceptor_;
-    std::uint16_t port_ = 0;
+    std::vector<std::unique_ptr<tcp::acceptor>> acceptors_;
+    std::set<int> stalled_;
+    std::set<std::shared_ptr<beast::tcp_stream>> open_;
     std::int64_t seq_ = 41;
     nlohmann::json hosts_ = nlohmann::json::array();
     bool down_ = false;
     SlotQueue queue_{1};
-    std::set<std::shared_ptr<asio::steady_timer>> watches_;
+    std::map<std::shared_ptr<asio::steady_timer>, int> watches_;  // whose each is
 };
 
 }  // namespace kelplb::lab
--- a/src/net/admin.cpp
+++ b/src/net/admin.cpp
@@ -185,6 +185,26 @@
     return answer(http::status::ok, {{"generations", all}, {"trial", trial_now(node)}});
 }
 
+// The sidecar's part in the shared state; null where it takes none.
+json fleet_now(const Node& node) {
+    const Shared* shared = node.shared();
+    if (!shared) return nullptr;
+    const fleet::Replica& r = shared->replica();
+    const auto versions = r.member(r.self()).versions();
+    json acts = nullptr;
+    if (versions) {
+        const fleet::Versions& v = versions->value;
+        acts = {{"epoch", v.epoch}, {"hash", v.hash}, {"list", {v.list_incarnation, v.list_seq}}};
+    }
+    return {{"members", r.members()},
+            {"alive", r.alive()},
+            {"records", r.records()},
+            {"caught_up", r.caught_up()},
+            {"acts_on", acts},
+            {"list_behind", shared->list_chase().behind()},
+            {"settings_behind", shared->settings_chase().behind()}};
+}
+
 HttpResponse get_status(const Node& node) {
     const auto held = node.held();
     const auto recent = node.generations().recent(node.clock().now());
@@ -206,6 +226,7 @@
            {"removed", held.removed},
            {"discovery", discovery.str()}}},
          {"state", state_now(node)},
+         {"fleet", fleet_now(node)},
          {"unanswered", node.sidecar().unanswered()},
          {"connections", {{"clients", node.listener().connections()}, {"servers", held.connections}}},
          {"changes",
@@ -261,6 +282,28 @@
     line("config_changes_total", c.unchanged, "{result=\"unchanged\"}");
     line("config_changes_total", c.rolled_back, "{result=\"rolled_back\"}");
     line("config_changes_total", c.taken_back, "{result=\"taken_back\"}");
+    if (const Shared* shared = node.shared()) {
+        const auto& f = shared->replica().counts();
+        gauge("fleet_members_alive", shared->replica().alive(), "Members of the shared state held to run.");
+        counter("fleet_datagrams_sent_total", f.sent, "Datagrams of the shared state sent.");
+        counter("fleet_bytes_sent_total", f.sent_bytes, "Bytes of them.");
+        counter("fleet_datagrams_received_total", f.received, "Datagrams of the shared state received.");
+        family("fleet_datagrams_dropped_total", "counter", "Datagrams that could not be read, by cause.");
+        for (int i = 0; i < fleet::kFaults; ++i)
+            line("fleet_datagrams_dropped_total", f.faults[static_cast<std::size_t>(i)],
+                 ("{cause=\"" + std::string(fleet::word(static_cast<fleet::Fault>(i))) + "\"}").c_str());
+        counter("fleet_unknown_members_total", f.unknown_members, "Items about numbers beyond the tier.");
+        counter("fleet_far_lives_total", f.far_lives, "Items of lives too far ahead of the clock.");
+        counter("fleet_refuted_total", f.refuted, "Untrue things said of this sidecar, refuted.");
+        counter("fleet_suspected_total", f.suspected, "Members suspected after a probe of ours.");
+        counter("fleet_stalls_total", f.stalls, "Times this process stood still.");
+        counter("fleet_list_calls_total", shared->list_chase().calls(),
+                "Lists asked for since others had newer.");
+        counter("fleet_settings_reads_total", shared->settings_chase().calls(), "The same for the file.");
+        counter("fleet_unfounded_claims_total",
+                shared->list_chase().unfounded() + shared->settings_chase().unfounded(),
+                "Claims of newer versions that nothing was found of.");
+    }
     if (Keeper* keeper = node.keeper()) {
         const auto counts = keeper->counts();
         counter("state_writes_total", counts.written, "Records written to the state folder.");
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -1,8 +1,10 @@
 #include "net/config.hpp"
 
+#define XXH_INLINE_ALL
 #include <fcntl.h>
 #include <sys/stat.h>
 #include <unistd.h>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <array>
@@ -270,6 +272,7 @@
 
 void read_fleet(FleetConfig& fleet, const Field& field) {
     if (field.has("enabled")) fleet.enabled = field["enabled"].flag();
+    if (field.has("agreement")) fleet.agreement = field["agreement"].flag();
     const auto period = [&](const char* name, Millis& into, Millis least) {
         if (!field.has(name)) return;
         into = field[name].time();
@@ -296,6 +299,11 @@
     }
     if (own.has("trial")) read_trial(c.trial, own["trial"]);
     if (own.has("fleet")) read_fleet(c.fleet, own["fleet"]);
+    if (own.has("epoch")) c.epoch = own["epoch"].whole<std::uint32_t>();
+    if (own.has("rollout")) {
+        c.rollout = own["rollout"]["share"].share();
+        if (c.rollout < 1 && c.epoch == 0) own["rollout"]["share"].complain("needs an epoch");
+    }
 }
 
 Config read_all(const json& value, Complaints& complaints) {
@@ -328,7 +336,14 @@
             complaints.push_back({"settings", std::string("are refused: ") + error.what()});
         }
     }
-    if (complaints.empty()) c.document = generation_document(value).dump();
+    if (complaints.empty()) {
+        const json document = generation_document(value);
+        c.document = document.dump();
+        json common = document.at("settings");
+        common.erase("my-number"), common.erase("my-zone");
+        const std::string text = common.dump();
+        c.settings_hash = XXH32(text.data(), text.size(), 0);
+    }
     return c;
 }
 
@@ -371,6 +386,11 @@
 ConfigError::ConfigError(const std::string& field, const std::string& what)
     : ConfigError(std::vector<Complaint>{{field, what}}) {}
 
+bool Config::in_rollout() const {
+    const std::uint32_t words[] = {settings.my_number, epoch};
+    return rollout >= 1 || XXH32(words, sizeof words, 0) < rollout * 4294967296.0;
+}
+
 bool Config::shares() const {
     return fleet.enabled && settings.may_tell && peer_listen && settings.siblings > 1 &&
            settings.siblings <= kelplb::fleet::kMostMembers && settings.my_number < settings.siblings &&
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -55,6 +55,7 @@
 // The sidecar's part in the fleet's shared state (docs/FLEET-STATE.md).
 struct FleetConfig {
     bool enabled = false;
+    bool agreement = true;  // what others act on that is newer is asked for
     Millis probe_period = 1000, gossip_period = 100, sync_period = 2000;
     bool operator==(const FleetConfig&) const = default;
 };
@@ -73,7 +74,10 @@
     std::optional<tcp::endpoint> admin;
     TrialRule trial;
     FleetConfig fleet;
-    std::string state_dir;  // empty: none
+    std::uint32_t epoch = 0;          // of the settings, the operators'; 0: they count none
+    double rollout = 1;               // the share of the fleet that is to act on it
+    std::uint32_t settings_hash = 0;  // of the settings that all sidecars have in common
+    std::string state_dir;            // empty: none
     Millis lived = 2000;
 
     Settings settings;  // without my_zone: zones have their numbers from whoever runs
@@ -87,6 +91,8 @@
     // What it was read from, without what is unknown or read at the start only.
     std::string document;
 
+    // Whether this sidecar is among the share that acts on it: the same ones whoever asks.
+    bool in_rollout() const;
     // Whether it takes part in the shared state: it is asked to, may tell, and knows its place in the fleet.
     bool shares() const;
     // Index of a class by its name; classes.size() if there is none.
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -12,6 +12,7 @@
 // A call that may wait is over 2 s after its wait, any other after 6 s: until then discovery has time to
 // answer. Whoever leaves sooner leaves its work behind in the queue, undone for nobody.
 constexpr std::chrono::milliseconds kBeyondWait{2000}, kCallTime{6000}, kConnectTime{2000};
+constexpr std::chrono::milliseconds kLasting{1000};
 constexpr std::uint64_t kListLimit = 16 * 1024 * 1024;
 }  // namespace
 
@@ -53,10 +54,36 @@
     if (old) old->stream->close();
     kept_.reset();
     seq_ = 0;  // the new one counts for itself: a lower number is no older list
+    lower_since_.reset();
     gap_ = true;
     next();
 }
 
+void Discovery::ask_now(std::uint32_t incarnation, std::uint64_t seq) {
+    claimed_incarnation_ = incarnation, claimed_seq_ = seq;
+    const auto old = std::move(call_);
+    call_.reset();
+    if (old) old->stream->close();
+    kept_.reset();
+    gap_ = fetch_ = true;
+    next();
+}
+
+// A list that is only late says so once. A discovery that began anew says lower numbers, and no others, for
+// as long as it takes, or others have seen it too.
+bool Discovery::counts_anew(const HostList& list) {
+    if (!list.whole) return false;
+    const auto now = std::chrono::steady_clock::now();
+    const bool others = claimed_incarnation_ > incarnation_ && list.seq >= claimed_seq_;
+    const bool lasting = lower_since_ && list.seq >= lower_seq_ && now - *lower_since_ >= kLasting;
+    if (!lower_since_ || list.seq < lower_seq_) lower_since_ = now;
+    lower_seq_ = list.seq;
+    if (!others && !lasting) return false;
+    ++incarnation_;
+    log_line("discovery counts anew: list " + std::to_string(list.seq) + " after " + std::to_string(seq_));
+    return true;
+}
+
 void Discovery::next() {
     if (call_ || (!active_ && !fetch_)) return;
     pause_.cancel();
@@ -106,7 +133,10 @@
         return unsound(call, std::string("an answer that can't be read: ") + error.what());
     }
     if (call->whole && !list.whole) return unsound(call, "changes where the whole list was asked for");
-    if (list.seq < seq_) return unsound(call, "an older list");
+    if (list.seq < seq_ && !counts_anew(list)) return unsound(call, "an older list");
+    lower_since_.reset();
+    if (list.whole && claimed_incarnation_ > incarnation_ && list.seq >= claimed_seq_)
+        incarnation_ = claimed_incarnation_;
     call_.reset();
     if (call->parser.keep_alive()) kept_ = std::move(call->stream);
     seq_ = list.seq;
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/beast/core/tcp_stream.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -24,6 +25,10 @@
     void watch(bool active);  // where lists are pushed, active from the start
     void fetch();             // the whole list, once
     std::uint64_t seq() const { return seq_; }
+    // How often discovery was found to count anew, from 1: a list is known by this and its number.
+    std::uint32_t incarnation() const { return incarnation_; }
+    // The whole list now, whatever is under way: others hold a newer one, of that incarnation and number.
+    void ask_now(std::uint32_t incarnation, std::uint64_t seq);
     void set_on_request(bool on_request) { on_request_ = on_request; }
     // From now on another address is asked, from the whole list on. What the old one still says is dropped.
     void move_to(const tcp::endpoint& to);
@@ -33,6 +38,7 @@
     void next();
     void call(bool whole);
     void answered(const std::shared_ptr<Call>& call);
+    bool counts_anew(const HostList& list);
     void unsound(const std::shared_ptr<Call>& call, const std::string& why);
     void failed(const std::shared_ptr<Call>& call, const std::string& why);
 
@@ -43,6 +49,12 @@
     std::unique_ptr<beast::tcp_stream> kept_;  // the connection for the next call
     asio::steady_timer pause_;
     std::uint64_t seq_ = 0;
+    std::uint32_t incarnation_ = 1;
+    std::uint32_t claimed_incarnation_ = 0;  // others say so, of that number
+    std::uint64_t claimed_seq_ = 0;
+    // Whole lists with lower numbers than ours, since when, and the last one's number.
+    std::optional<std::chrono::steady_clock::time_point> lower_since_;
+    std::uint64_t lower_seq_ = 0;
     bool on_request_;
     bool active_ = false;
     bool gap_ = false;  // something may have been missed: the whole list is next
--- a/src/net/generations.hpp
+++ b/src/net/generations.hpp
@@ -17,6 +17,8 @@
     std::uint64_t generation = 0;
     Config config;
     SettingsPtr settings;  // the same, with its zone's number
+    // That it is acted on under: the configuration's own, and for one gone back to a newer one.
+    std::uint32_t epoch = 0;
 };
 using SnapshotPtr = std::shared_ptr<const Snapshot>;
 
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -3,6 +3,8 @@
 #include <sys/resource.h>
 
 #include <algorithm>
+#include <cstdio>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -62,6 +64,16 @@
                                                 std::to_string(limit.rlim_cur));
 }
 
+// Settings that count epochs go forward only, and an epoch means the same settings everywhere.
+void check_epoch(const Config& config, const Snapshot& running) {
+    if (config.epoch < running.epoch)
+        throw ConfigError("cobaltshift.epoch", "goes back from " + std::to_string(running.epoch) +
+                                                   ": what was before needs a newer epoch too");
+    if (config.epoch > 0 && config.epoch == running.epoch &&
+        config.settings_hash != running.config.settings_hash)
+        throw ConfigError("cobaltshift.epoch", "is in force already, with other settings");
+}
+
 Change refusal(std::uint64_t generation, std::vector<Complaint> complaints) {
     return {Change::Result::refused, generation, std::move(complaints), {}};
 }
@@ -74,6 +86,8 @@
             return "applied";
         case Change::Result::unchanged:
             return "unchanged";
+        case Change::Result::staged:
+            return "staged";
         case Change::Result::sound:
             return "sound";
         case Change::Result::refused:
@@ -121,7 +135,7 @@
           io, start.config.discovery,
           start.config.known && !start.stored_list ? std::optional(start.config.known->seq) : std::nullopt,
           start.config.settings.list_on_request,
-          {[this](const HostList& list) { sidecar_.told(list); }, [this] { sidecar_.list_failed(); }}),
+          {[this](const HostList& list) { listed(list); }, [this] { sidecar_.list_failed(); }}),
       timer_(io),
       trial_timer_(io),
       keep_timer_(io) {
@@ -183,6 +197,7 @@
 std::shared_ptr<Snapshot> Node::snapshot_of(Config config, std::uint64_t generation) {
     auto snapshot = std::make_shared<Snapshot>();
     snapshot->generation = generation;
+    snapshot->epoch = config.epoch;
     Settings settings = config.settings;
     settings.share = config.shares();
     if (config.my_zone) settings.my_zone = zones_.number(*config.my_zone);
@@ -210,11 +225,40 @@
     if (!config.shares() || !peers_) return;
     shared_ = std::make_unique<Shared>(
         io_, clock_, config,
-        Shared::Handlers{[this](std::optional<std::uint32_t> to, const std::vector<std::uint8_t>& bytes) {
-                             if (peers_) peers_->tell(to, bytes);
-                         },
-                         [this] { sidecar_.fleet_said(shared_->replica().evidence()); }});
+        Shared::Handlers{
+            [this](std::optional<std::uint32_t> to, const std::vector<std::uint8_t>& bytes) {
+                if (peers_) peers_->tell(to, bytes);
+            },
+            [this] { sidecar_.fleet_said(shared_->replica().evidence()); },
+            [this](const fleet::Place& claimed) { discovery_.ask_now(claimed.major, claimed.minor); },
+            [this](const fleet::Place&) { reload(); }});
     shared_->start();
+    say_versions();
+}
+
+// What it acts on, to the others and to the log: the log's times are what the lab checks agreement by.
+void Node::say_versions() {
+    if (!shared_) return;
+    const Snapshot& s = *sidecar_.snapshot();
+    const auto seq = std::min<std::uint64_t>(discovery_.seq(), std::numeric_limits<std::uint32_t>::max());
+    const fleet::Versions now{s.epoch, s.epoch ? s.config.settings_hash : 0, discovery_.incarnation(),
+                              static_cast<std::uint32_t>(seq)};
+    if (now != acting_) {
+        char line[96];
+        std::snprintf(line, sizeof line, "acts on settings %u.%08x list %u.%u", now.epoch, now.hash,
+                      now.list_incarnation, now.list_seq);
+        log_line(line);
+    }
+    acting_ = now;
+    shared_->acts_on(now, std::max(settled_, s.epoch));
+}
+
+void Node::listed(const HostList& list) {
+    sidecar_.told(list);
+    if (shared_)
+        for (const Host& host : list.hosts)
+            if (host.phase != Phase::on) shared_->closed(sidecar_.key_of(host));
+    say_versions();
 }
 
 Node::Prepared Node::prepare(Config config) {
@@ -255,6 +299,8 @@
     const Millis start = clock_.now();
     const Config& config = p.snapshot->config;
     const SnapshotPtr before = sidecar_.snapshot();  // to the end, whoever else lets go of it
+    const bool back = source == Generations::Source::rollback || source == Generations::Source::trial;
+    if (back && before->epoch > 0) p.snapshot->epoch = before->epoch + 1;
     discovery_.set_on_request(config.settings.list_on_request);
     sidecar_.use(p.snapshot, upstream_limits(config));
     if (p.other_peers) {
@@ -273,6 +319,7 @@
     log_line("generation " + std::to_string(p.snapshot->generation) + " of the configuration is in force (" +
              word(source) + ")");
     keep_config();
+    say_versions();
     watch_trial();
     counts_.last_pause = clock_.now() - start;
     counts_.longest_pause = std::max(counts_.longest_pause, counts_.last_pause);
@@ -321,6 +368,16 @@
             counts_.unchanged += options.dry_run ? 0 : 1;
             return {Change::Result::unchanged, running->generation, {}, {}};
         }
+        check_epoch(config, *running);
+        if (!config.in_rollout()) {
+            if (!options.dry_run) {
+                if (settled_ < config.epoch)
+                    log_line("epoch " + std::to_string(config.epoch) + " is for another part of the fleet");
+                settled_ = std::max(settled_, config.epoch);
+                say_versions();
+            }
+            return {Change::Result::staged, running->generation, {}, {}};
+        }
         if (options.dry_run) check_descriptors(config, running->config);
         if (options.dry_run) return {Change::Result::sound, running->generation, {}, {}};
         Prepared prepared = prepare(std::move(config));
--- a/src/net/node.hpp
+++ b/src/net/node.hpp
@@ -21,6 +21,7 @@
     enum class Result {
         applied,
         unchanged,  // it says what is in force
+        staged,     // it is for a part of the fleet that this sidecar is not in
         sound,      // a dry run: it could be applied
         refused,    // nothing has changed; complaints say why
         conflict,   // another generation is in force than was expected, or there is none to go back to
@@ -84,6 +85,8 @@
     Prepared prepare_again(const Generations::Entry& entry);
     void commit(Prepared prepared, Generations::Source source, std::uint64_t content, const TrialRule& rule);
     void share(const Config& config);
+    void say_versions();
+    void listed(const HostList& list);
     std::shared_ptr<Peers> open_peers(const Config& config);
     void keep_config();
     void keep_world();
@@ -106,6 +109,9 @@
     std::unique_ptr<Admin> admin_;
     asio::steady_timer timer_, trial_timer_, keep_timer_;
     Counts counts_;
+    fleet::Versions acting_{};  // as last said
+    std::uint32_t settled_ =
+        0;  // epochs up to there are decided on, though one may be acted on elsewhere only
     bool reload_posted_ = false;
     Millis started_ = clock_.now();
     bool lived_ = false;
--- a/src/net/shared.cpp
+++ b/src/net/shared.cpp
@@ -2,12 +2,17 @@
 
 #include <cmath>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include "net/log.hpp"
 
 namespace kelplb::net {
 
 namespace {
 
+constexpr double kSpeakers = 12;  // of all, that tell of a closed server
+
 fleet::Options options_of(const FleetConfig& config) {
     fleet::Options o;
     o.probe_period = config.probe_period;
@@ -29,7 +34,9 @@
       config_(config.fleet),
       replica_(static_cast<fleet::MemberId>(config.settings.my_number), config.settings.siblings,
                static_cast<std::uint32_t>(clock.now() / 1000), config.seed, options_of(config.fleet)),
-      timer_(io) {}
+      timer_(io),
+      list_(fleet::kListPace, config.seed ^ 1),
+      settings_(fleet::kSettingsPace, config.seed ^ 2) {}
 
 bool Shared::serves(const Config& config) const {
     return config.shares() && config.fleet == config_ && config.settings.my_number == replica_.self() &&
@@ -58,11 +65,50 @@
     arm();
 }
 
-void Shared::say(const fleet::Versions& versions) {
-    replica_.say(clock_.now(), versions);
+void Shared::acts_on(const fleet::Versions& versions, std::uint32_t settled) {
+    if (versions != own_) replica_.say(clock_.now(), versions);
+    own_ = versions, settled_ = settled;
+    look();
     arm();
 }
 
+void Shared::closed(fleet::ServerKey server) {
+    const std::uint32_t words[] = {server, replica_.self()};
+    const double all = static_cast<double>(replica_.members());
+    if (XXH32(words, sizeof words, 0) / 4294967296.0 * all >= kSpeakers) return;
+    fleet::Evidence e;
+    e.flags = fleet::kClosed;
+    say(server, e);
+}
+
+void Shared::look() {
+    if (!config_.agreement) return;
+    std::vector<fleet::Place> lists, settings;
+    for (const auto& [member, record] : replica_.versions()) {
+        lists.push_back(fleet::list_place(record.value));
+        settings.push_back(fleet::settings_place(record.value));
+    }
+    const Millis now = clock_.now();
+    list_.look(now, fleet::list_place(own_), lists);
+    settings_.look(now, std::max(fleet::settings_place(own_), fleet::Place{settled_, ~0u}), settings);
+}
+
+void Shared::chase() {
+    const Millis now = clock_.now();
+    const auto ask = [&](fleet::Chase& chase, const auto& handler, const char* what) {
+        if (!chase.due() || now < *chase.due()) return;
+        const fleet::Place claimed = *chase.claimed();
+        const auto before = chase.unfounded();
+        chase.asked(now);
+        handler(claimed);
+        if (chase.unfounded() != before)
+            log_line(std::string("others claim to act on ") + what + " " + std::to_string(claimed.major) +
+                     "." + std::to_string(claimed.minor) + ", which is not to be had");
+    };
+    ask(list_, handlers_.ask_list, "list");
+    ask(settings_, handlers_.ask_settings, "settings");
+}
+
 void Shared::carry_out() {
     for (const fleet::Outgoing& o : out_) {
         const bool all = o.to == fleet::kAll;
@@ -76,13 +122,16 @@
     said_caught_up_ = replica_.caught_up();
     if (replica_.revision() != revision_) {
         revision_ = replica_.revision();
+        look();
         handlers_.changed();
     }
     arm();
 }
 
 void Shared::arm() {
-    const Millis due = replica_.due();
+    Millis due = replica_.due();
+    for (const fleet::Chase* chase : {&list_, &settings_})
+        if (chase->due()) due = std::min(due, *chase->due());
     if (!std::isfinite(due)) {
         timer_.cancel();
         armed_for_ = 0;
@@ -95,6 +144,7 @@
         if (ec) return;
         armed_for_ = 0;
         replica_.advance(clock_.now(), out_);
+        chase();
         carry_out();
     });
 }
--- a/src/net/shared.hpp
+++ b/src/net/shared.hpp
@@ -5,7 +5,7 @@
 #include <functional>
 #include <optional>
 
-#include "fleet/replica.hpp"
+#include "fleet/agreement.hpp"
 #include "net/clock.hpp"
 #include "net/config.hpp"
 #include "net/http.hpp"
@@ -17,6 +17,8 @@
     struct Handlers {
         std::function<void(std::optional<std::uint32_t> to, const std::vector<std::uint8_t>& bytes)> send;
         std::function<void()> changed;  // what the others say; not from within say()
+        // They act on a newer list, or on newer settings: ask for them.
+        std::function<void(const fleet::Place&claimed)> ask_list, ask_settings;
     };
     Shared(asio::io_context& io, const Clock& clock, const Config& config, Handlers handlers);
     void start();
@@ -25,7 +27,12 @@
 
     void heard(std::uint32_t from, const std::vector<std::uint8_t>& bytes);
     void say(fleet::ServerKey server, const fleet::Evidence& evidence);
-    void say(const fleet::Versions& versions);
+    // What this sidecar acts on. An epoch up to `settled` that it does not act on is not meant for it.
+    void acts_on(const fleet::Versions& versions, std::uint32_t settled);
+    // On its list the server drains or is gone. A dozen of the fleet, drawn by the server, say so.
+    void closed(fleet::ServerKey server);
+    const fleet::Chase& list_chase() const { return list_; }
+    const fleet::Chase& settings_chase() const { return settings_; }
 
     const fleet::Replica& replica() const { return replica_; }
     // Whether it was made for the same place in the same fleet.
@@ -33,6 +40,8 @@
 
 private:
     void carry_out();
+    void look();
+    void chase();
     void arm();
 
     const Clock& clock_;
@@ -43,6 +52,9 @@
     asio::steady_timer timer_;
     Millis armed_for_ = 0;
     Millis started_ = 0;
+    fleet::Chase list_, settings_;
+    fleet::Versions own_{};
+    std::uint32_t settled_ = 0;
     std::uint64_t revision_ = 0;
     bool said_caught_up_ = false;
 };
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -171,6 +171,13 @@
     push(std::move(event));
 }
 
+fleet::ServerKey Sidecar::key_of(const Host& host) {
+    const auto known = server_ids_.find(host.name);
+    const ServerId id =
+        known != server_ids_.end() ? known->second : server_number(host.name, [](ServerId) { return false; });
+    return server_key(id, host.born);
+}
+
 void Sidecar::fleet_said(const std::vector<fleet::ServerEvidence>& evidence) {
     std::unordered_map<fleet::ServerKey, ServerId> by_key;
     for (const auto& [id, s] : servers_)
@@ -178,8 +185,8 @@
     FleetView event;
     for (const fleet::ServerEvidence& e : evidence)
         if (const auto id = by_key.find(e.server); id != by_key.end())
-            event.servers.push_back(
-                {id->second, e.good, e.bad, e.complaints, e.witnesses, e.restored, e.paced, e.pace});
+            event.servers.push_back({id->second, e.good, e.bad, e.complaints, e.witnesses, e.closed,
+                                     e.restored, e.paced, e.pace});
     push(std::move(event));
 }
 
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -74,6 +74,7 @@
     // From discovery and from other sidecars.
     void told(const HostList& list, bool saved = false);
     void list_failed();
+    fleet::ServerKey key_of(const Host& host);
     // What the other sidecars share; servers that are not listed here are passed over.
     void fleet_said(const std::vector<fleet::ServerEvidence>& evidence);
     void peer_said(std::uint32_t from, std::vector<std::uint8_t> bytes);
--- a/tests/decode_fuzz.cpp
+++ b/tests/decode_fuzz.cpp
@@ -34,7 +34,8 @@
     }
     for (Millis at = now; at < now + 3000; at = std::max(at + 1, replica.due())) replica.advance(at, out);
     for (const Outgoing& o : out)
-        if (o.bytes.size() > kLongest || (o.to >= 40 && o.to != kAll) || std::holds_alternative<Fault>(decode(o.bytes)))
+        if (o.bytes.size() > kLongest || (o.to >= 40 && o.to != kAll) ||
+            std::holds_alternative<Fault>(decode(o.bytes)))
             std::abort();
     if (replica.records() > 40 * kMostRecords) std::abort();
     return 0;
--- a/tests/fleet_state_test.cpp
+++ b/tests/fleet_state_test.cpp
@@ -361,6 +361,9 @@
                 if (f.up(i)) f.say(i, Versions{static_cast<std::uint32_t>(step), 1, 1, 1});
         }
     }
+    for (std::size_t i = 0; i < n; ++i)
+        for (ServerKey server = 10; f.up(i) && server < 16; ++server) f.say(i, server, {2, 1, 0, 0});
+    f.run_for(400);
     f.heal();
     for (std::size_t i = 0; i < n; ++i)
         if (paused[i]) f.resume(i);
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -242,4 +242,81 @@
     EXPECT_EQ(summary["outcomes"]["failed"], 0);
 }
 
+// Versions the sidecars agree on, on real processes: a third of the watches is told nothing of a drain,
+// discovery counts anew, and settings reach one sidecar in eight by SIGHUP. The same run without the asking
+// must not pass.
+nlohmann::json versions_run(bool agreement) {
+    Folder folder;
+    const Experiment e = kelplb::lab::load_experiment(
+        folder
+            .file(std::string("name = \"versions\"\nseed = 5\nseconds = 14\nwarmup_s = 1\n") +
+                  "[fleet]\nsidecars = 16\nshared = true\nagreement = " + (agreement ? "true" : "false") +
+                  R"(
+[servers]
+count = 20
+work_ms = 2
+[load]
+rate = 8
+time_left_ms = 800
+[relay]
+delay_ms = 3
+loss = 0.2
+duplicate = 0.1
+[[faults]]
+kind = "stall"
+at_s = 1
+share = 0.34
+for_s = 12
+[[faults]]
+kind = "drain"
+at_s = 2
+share = 0.1
+for_s = 2
+[[faults]]
+kind = "settings"
+at_s = 5
+share = 0.12
+[[faults]]
+kind = "anew"
+at_s = 7
+[[faults]]
+kind = "kill"
+at_s = 9
+share = 0.25
+for_s = 0.5
+[[faults]]
+kind = "settings"
+at_s = 9.2
+share = 0.2
+[[faults]]
+kind = "settings"
+at_s = 9.3
+share = 0.2
+)")
+            .string());
+    const auto log =
+        std::make_shared<spdlog::logger>("test", std::make_shared<spdlog::sinks::null_sink_st>());
+    const auto summary = kelplb::lab::run_experiment(e, {KELPLB_PROGRAM, folder.path / "run"}, log);
+    EXPECT_EQ(summary["processes"]["crashed"], 0);
+    EXPECT_EQ(summary["faults_failed"], 0);
+    return summary["shared"];
+}
+
+// The bounds are twice those stated (1 s, 2 s): this runs beside other tests, under sanitizers too.
+TEST(Fleet, NoTwoSidecarsActOnContradictingVersionsForLong) {
+    const auto shared = versions_run(true);
+    EXPECT_GE(shared["list_lag_ms"]["changes"].get<int>(), 3) << shared;
+    EXPECT_GE(shared["settings_lag_ms"]["changes"].get<int>(), 2) << shared;
+    EXPECT_EQ(shared["list_lag_ms"]["never"], 0) << shared;
+    EXPECT_EQ(shared["settings_lag_ms"]["never"], 0) << shared;
+    EXPECT_LE(shared["list_lag_ms"]["max"].get<double>(), 2000) << shared;
+    EXPECT_LE(shared["settings_lag_ms"]["max"].get<double>(), 4000) << shared;
+}
+
+TEST(Fleet, WithoutAskingTheHistoryCheckFails) {
+    const auto shared = versions_run(false);
+    EXPECT_GT(shared["list_lag_ms"]["max"].get<double>(), 2000) << shared;
+    EXPECT_GT(shared["settings_lag_ms"]["never"].get<int>(), 0) << shared;
+}
+
 }  // namespace
--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -34,7 +34,7 @@
 std::string seen_of(Running& sidecar, Operator& ops) {
     std::string all = ops.get("/v1/config").dump() + ops.get("/v1/config/history").dump();
     for (const char* grade : {"listen", "deposit", "annotate", "nothing"})
-        all += " " + std::to_string(ask(sidecar.at, grade));
+        (all += ' ') += std::to_string(ask(sidecar.at, grade));
     const auto limits = sidecar.in_loop([&] {
         const Node& node = sidecar.node();
         return std::to_string(node.discovery().seq()) + "/" + std::to_string(node.held().servers);
@@ -225,6 +225,89 @@
     EXPECT_EQ(ops.get("/v1/config/history").at("generations").size(), 4u);
 }
 
+// ---- Versions
+// -----------------------------------------------------------------------------------------------
+
+TEST(Epochs, GoForwardOnlyAndMeanOneThing) {
+    FakeServer server;
+    FakeDiscovery discovery;
+    json config = with_admin(a_config(discovery.at(), {host("s1", server.at())}));
+    config["cobaltshift"]["epoch"] = 3;
+    Running sidecar(config);
+    Operator ops(sidecar.admin);
+    const auto refused = [&](const json& candidate) {
+        const json said = ops.post("/v1/config", candidate, 422);
+        return said.dump().find("cobaltshift.epoch") != std::string::npos;
+    };
+    json next = without_class(config, "listen");
+    EXPECT_TRUE(refused(next)) << "the epoch in force says something else";
+    next["cobaltshift"]["epoch"] = 2;
+    EXPECT_TRUE(refused(next)) << "back";
+    next["cobaltshift"].erase("epoch");
+    EXPECT_TRUE(refused(next)) << "away";
+    EXPECT_EQ(ask(sidecar.at, "listen"), 200u);
+    next["cobaltshift"]["epoch"] = 4;
+    EXPECT_EQ(ops.post("/v1/config", next).at("result"), "applied");
+    EXPECT_EQ(ask(sidecar.at, "listen"), 400u);
+    // A rollback is an epoch of its own: 5 is taken, what follows needs a newer one.
+    EXPECT_EQ(ops.post("/v1/config/rollback").at("result"), "applied");
+    EXPECT_EQ(ask(sidecar.at, "listen"), 200u);
+    EXPECT_EQ(sidecar.in_loop([&] { return sidecar.node().sidecar().snapshot()->epoch; }), 5u);
+    EXPECT_TRUE(refused(next));
+    next["cobaltshift"]["epoch"] = 6;
+    EXPECT_EQ(ops.post("/v1/config", next).at("result"), "applied");
+}
+
+TEST(Epochs, OneForAnotherPartOfTheFleetChangesNothingHere) {
+    FakeServer server;
+    FakeDiscovery discovery;
+    json config = with_admin(a_config(discovery.at(), {host("s1", server.at())}));
+    config["cobaltshift"]["epoch"] = 1;
+    Running sidecar(config);
+    Operator ops(sidecar.admin);
+    json next = without_class(config, "listen");
+    next["cobaltshift"]["epoch"] = 2;
+    next["cobaltshift"]["rollout"]["share"] = 0;
+    EXPECT_EQ(ops.post("/v1/config", next).at("result"), "staged");
+    EXPECT_EQ(ask(sidecar.at, "listen"), 200u);
+    EXPECT_EQ(ops.get("/v1/config").at("generation"), 1);
+    next["cobaltshift"]["rollout"]["share"] = 1;
+    EXPECT_EQ(ops.post("/v1/config", next).at("result"), "applied");
+    EXPECT_EQ(ask(sidecar.at, "listen"), 400u);
+}
+
+TEST(Epochs, ARolloutTakesItsShareOfAFleet) {
+    int in = 0;
+    for (std::uint32_t number = 0; number < 1000; ++number) {
+        Config c;
+        c.epoch = 7, c.rollout = 0.1, c.settings.my_number = number;
+        in += c.in_rollout();
+        c.rollout = 1;
+        EXPECT_TRUE(c.in_rollout());
+    }
+    EXPECT_NEAR(in, 100, 30);
+}
+
+// One lower number may be a late answer; lower ones that last are another discovery's.
+TEST(DiscoveryAnew, IsFollowedOnceItLasts) {
+    FakeServer first, second;
+    FakeDiscovery discovery;
+    Running sidecar(a_config(discovery.at(), {host("s1", first.at())}));
+    const auto version = [&] {
+        return sidecar.in_loop([&] {
+            const Discovery& d = sidecar.node().discovery();
+            return std::pair<std::uint64_t, std::uint64_t>(d.incarnation(), d.seq());
+        });
+    };
+    discovery.say(9, true, {host("s1", first.at())});
+    discovery.wait_for(2);
+    discovery.say(2, true, {host("s2", second.at())});
+    discovery.wait_for(3);
+    EXPECT_EQ(version(), std::pair(std::uint64_t{1}, std::uint64_t{9}));
+    for (int i = 0; i < 60; ++i) discovery.say(2, true, {host("s2", second.at())});
+    EXPECT_TRUE(until([&] { return version() == std::pair(std::uint64_t{2}, std::uint64_t{2}); }));
+}
+
 TEST(TrialOnSockets, OneThatTurnsRequestsAwayIsTakenBackByItself) {
     FakeServer server;
     const json config = with_admin(a_config(kNowhere, {host("s1", server.at())}));
--- a/tests/share_test.cpp
+++ b/tests/share_test.cpp
@@ -19,7 +19,7 @@
     }
     void hear(std::vector<FleetEvidence> servers) { give(FleetView{std::move(servers)}); }
     void hear(ServerId server, std::uint32_t witnesses, std::uint32_t bad = 9, std::uint32_t good = 0) {
-        hear({{server, good, bad, witnesses, witnesses, 0, 0, 0}});
+        hear({{server, good, bad, witnesses, witnesses, 0, 0, 0, 0}});
     }
     std::optional<Share> shared() const {
         for (const Action& a : last)
@@ -69,7 +69,7 @@
     Sharing rig;
     rig.hear(5, 2);
     EXPECT_EQ(rig.removed(), 0U);
-    rig.hear({{5, 0, 9, /*complaints=*/30, /*witnesses=*/2, 0, 0, 0}});
+    rig.hear({{5, 0, 9, /*complaints=*/30, /*witnesses=*/2, 0, 0, 0, 0}});
     EXPECT_EQ(rig.removed(), 0U) << "what is only passed on is no witness";
     rig.hear(5, 3, /*bad=*/3, /*good=*/60);
     EXPECT_EQ(rig.removed(), 0U) << "share above 0.9";
@@ -80,7 +80,7 @@
 TEST(Shared, HearsayRemovesATenthOfTheListAtMost) {
     Sharing rig;
     std::vector<FleetEvidence> lies;
-    for (ServerId id = 1; id <= kServers; ++id) lies.push_back({id, 0, 200, 50, 50, 0, 0, 0});
+    for (ServerId id = 1; id <= kServers; ++id) lies.push_back({id, 0, 200, 50, 50, 0, 0, 0, 0});
     for (int i = 0; i < 100; ++i) {
         rig.hear(lies);
         rig.pass(100);
@@ -137,7 +137,7 @@
     const ServerId server = rig.used();
     rig.hear(server, 5);
     ASSERT_EQ(rig.removed(), 1U);
-    rig.hear({{server, 5, 9, 5, 5, /*restored=*/1, 0, 0}});
+    rig.hear({{server, 5, 9, 5, 5, 0, /*restored=*/1, 0, 0}});
     EXPECT_EQ(rig.removed(), 1U) << "a trial of its own is still to come";
     rig.pass(2000);
     EXPECT_TRUE(rig.meet(server, Outcome::completed, 200));
@@ -153,6 +153,24 @@
     EXPECT_EQ(rig.removed(), 0U);
 }
 
+TEST(Shared, WhatOthersListsCloseGetsNothingNew) {
+    Sharing rig;
+    const ServerId server = rig.used();
+    rig.hear({{server, 0, 0, 0, 0, /*closed=*/2, 0, 0, 0}});
+    EXPECT_TRUE(rig.meet(server, Outcome::completed));
+    rig.hear({{server, 0, 0, 0, 0, 3, 0, 0, 0}});
+    EXPECT_FALSE(rig.meet(server, Outcome::completed, 200));
+    rig.hear(std::vector<FleetEvidence>{});
+    EXPECT_TRUE(rig.meet(server, Outcome::completed));
+    // A tenth of the list at most: liars must not close it.
+    std::vector<FleetEvidence> all;
+    for (ServerId id = 1; id <= kServers; ++id) all.push_back({id, 0, 0, 0, 0, 50, 0, 0, 0});
+    rig.hear(all);
+    std::set<ServerId> met;
+    for (int i = 0; i < 2000; ++i) rig.pass(20), met.insert(rig.used());
+    EXPECT_GE(met.size(), 5U);
+}
+
 TEST(Shared, TurnedOffNothingOfItIsHeeded) {
     Sharing rig;
     rig.change(sharing(false));
