--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -32,6 +32,12 @@
     std::filesystem::path path;
 };
 
+nlohmann::json played(const Experiment& e, const Folder& folder) {
+    const auto log =
+        std::make_shared<spdlog::logger>("test", std::make_shared<spdlog::sinks::null_sink_st>());
+    return kelplb::lab::run_experiment(e, {KELPLB_PROGRAM, folder.path / "run"}, log);
+}
+
 std::string field_of(const std::string& text) {
     Folder folder;
     try {
@@ -153,9 +159,7 @@
 for_s = 2
 )")
                                                     .string());
-    const auto log =
-        std::make_shared<spdlog::logger>("test", std::make_shared<spdlog::sinks::null_sink_st>());
-    const auto summary = kelplb::lab::run_experiment(e, {KELPLB_PROGRAM, folder.path / "run"}, log);
+    const auto summary = played(e, folder);
 
     EXPECT_EQ(summary["ready"]["sidecars"], 16);
     const auto& processes = summary["processes"];
@@ -228,9 +232,7 @@
 for_s = 1
 )")
                                                           .string());
-    const auto log =
-        std::make_shared<spdlog::logger>("test", std::make_shared<spdlog::sinks::null_sink_st>());
-    const auto summary = kelplb::lab::run_experiment(e, {KELPLB_PROGRAM, folder.path / "run"}, log);
+    const auto summary = played(e, folder);
     EXPECT_EQ(summary["processes"]["crashed"], 0);
     const auto& shared = summary["shared"];
     EXPECT_EQ(shared["bad_servers"], 1);
@@ -294,9 +296,7 @@
 share = 0.2
 )")
             .string());
-    const auto log =
-        std::make_shared<spdlog::logger>("test", std::make_shared<spdlog::sinks::null_sink_st>());
-    const auto summary = kelplb::lab::run_experiment(e, {KELPLB_PROGRAM, folder.path / "run"}, log);
+    const auto summary = played(e, folder);
     EXPECT_EQ(summary["processes"]["crashed"], 0);
     EXPECT_EQ(summary["faults_failed"], 0);
     return summary["shared"];
