Lab tests: one way to read an experiment from a text

Need: five tests wrote the text to a file and read it back, each in its own three lines. Change: Folder::experiment() in tests/lab_test.cpp; no assertion touched.

--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -28,6 +28,9 @@
         std::ofstream(at) << text;
         return at;
     }
+    Experiment experiment(const std::string& text) const {
+        return kelplb::lab::load_experiment(file(text).string());
+    }
     static inline int counter = 0;
     std::filesystem::path path;
 };
@@ -41,7 +44,7 @@
 std::string field_of(const std::string& text) {
     Folder folder;
     try {
-        kelplb::lab::load_experiment(folder.file(text).string());
+        folder.experiment(text);
     } catch (const ExperimentError& error) {
         return error.field;
     }
@@ -50,8 +53,7 @@
 
 TEST(Experiment, ReadsWhatItSays) {
     Folder folder;
-    const Experiment e = kelplb::lab::load_experiment(folder
-                                                          .file(R"(
+    const Experiment e = folder.experiment(R"(
 name = "x"
 seed = 5
 seconds = 9
@@ -70,8 +72,7 @@
 for_s = 2
 share = 0.2
 direction = "in"
-)")
-                                                          .string());
+)");
     EXPECT_EQ(e.name, "x");
     EXPECT_EQ(e.seed, 5u);
     EXPECT_EQ(e.sidecars, 7);
@@ -120,8 +121,7 @@
 // a quarter stopped and continued, a fifth cut off from datagrams, a server failing. Bounds, not timings.
 TEST(Fleet, RealSidecarsThroughFaults) {
     Folder folder;
-    Experiment e = kelplb::lab::load_experiment(folder
-                                                    .file(R"(
+    Experiment e = folder.experiment(R"(
 name = "ci"
 seed = 3
 seconds = 8
@@ -157,8 +157,7 @@
 share = 0.125
 mode = "fail_fast"
 for_s = 2
-)")
-                                                    .string());
+)");
     const auto summary = played(e, folder);
 
     EXPECT_EQ(summary["ready"]["sidecars"], 16);
@@ -194,8 +193,7 @@
 // datagrams is lost, some come twice, and a fifth of the fleet is cut off for a while.
 TEST(Fleet, SharedStateThroughFaults) {
     Folder folder;
-    const Experiment e = kelplb::lab::load_experiment(folder
-                                                          .file(R"(
+    const Experiment e = folder.experiment(R"(
 name = "shared"
 seed = 5
 seconds = 9
@@ -230,8 +228,7 @@
 at_s = 6
 share = 0.25
 for_s = 1
-)")
-                                                          .string());
+)");
     const auto summary = played(e, folder);
     EXPECT_EQ(summary["processes"]["crashed"], 0);
     const auto& shared = summary["shared"];
@@ -249,11 +246,10 @@
 // must not pass.
 nlohmann::json versions_run(bool agreement) {
     Folder folder;
-    const Experiment e = kelplb::lab::load_experiment(
-        folder
-            .file(std::string("name = \"versions\"\nseed = 5\nseconds = 14\nwarmup_s = 1\n") +
-                  "[fleet]\nsidecars = 16\nshared = true\nagreement = " + (agreement ? "true" : "false") +
-                  R"(
+    const Experiment e = folder.experiment(
+        std::string("name = \"versions\"\nseed = 5\nseconds = 14\nwarmup_s = 1\n") +
+        "[fleet]\nsidecars = 16\nshared = true\nagreement = " + (agreement ? "true" : "false") +
+        R"(
 [servers]
 count = 20
 work_ms = 2
@@ -294,8 +290,7 @@
 kind = "settings"
 at_s = 9.3
 share = 0.2
-)")
-            .string());
+)");
     const auto summary = played(e, folder);
     EXPECT_EQ(summary["processes"]["crashed"], 0);
     EXPECT_EQ(summary["faults_failed"], 0);
