Watches of discovery wait 2 s at most, so that a silent one hides the list no longer

A watch waited 20 s and 2 s beyond, so all of them acted on the list of the start until 22 s: nothing was sent to the new servers, which stayed cold, and a thousand attempts a second went to servers that were gone.

Ruled out for this fall: has_room()'s part by worth and the room's floor (they only decide who is refused once the pool is gone), kHold, the lot of cold servers (no cold server was known to anybody), bounds on connections or numbers.

Change: a call waits 1 to 2 s, drawn by the sidecar's seed, so that the wait, the time beyond it, the pause and the next call fit into the 6 s after which the change counts as told, and calls that began in step drift apart.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -1,14 +1,18 @@
 #include "net/discovery.hpp"
 
+#include <cmath>
 #include <nlohmann/json.hpp>
-#include <random>
 
 #include "net/log.hpp"
 
 namespace kelplb::net {
 
 namespace {
-constexpr int kWaitMs = 20000;
+// A watch may fall silent with nothing said, and shows it only when its wait is long over. What it misses
+// counts as told 6 s after that, so the wait, the time beyond it, the pause after a call that failed and the
+// next call have to fit in there together. Each call waits between half of this and all of it: many sidecars'
+// first calls come in step.
+constexpr double kLongestWaitMs = 2000;
 // A call that may wait is over 2 s after its wait, any other after 6 s: until then discovery has time to
 // answer. Whoever leaves sooner leaves its work behind in the queue, undone for nobody.
 constexpr std::chrono::milliseconds kBeyondWait{2000}, kCallTime{6000}, kConnectTime{2000};
@@ -26,8 +30,9 @@
 };
 
 Discovery::Discovery(asio::io_context& io, const tcp::endpoint& at, std::optional<std::uint64_t> known,
-                     bool on_request, Handlers handlers)
+                     bool on_request, std::uint64_t seed, Handlers handlers)
     : io_(io),
+      random_(seed),
       at_(at),
       handlers_(std::move(handlers)),
       pause_(io),
@@ -96,8 +101,9 @@
     kept_.reset();
     call_ = call;
     call->whole = whole;
+    const auto wait = std::chrono::milliseconds(std::lround(kLongestWaitMs * (0.5 + random_.unit() / 2)));
     std::string target = "/v1/servers";
-    if (!whole) target += "?after=" + std::to_string(seq_) + "&wait_ms=" + std::to_string(kWaitMs);
+    if (!whole) target += "?after=" + std::to_string(seq_) + "&wait_ms=" + std::to_string(wait.count());
     call->request = {http::verb::get, target, 11};
     call->request.set(http::field::host, at_.address().to_string());
     call->parser.body_limit(kListLimit);
@@ -105,9 +111,8 @@
         if (ec) failed(call, ec.message());
         return ec || call_ != call;  // moved away from meanwhile
     };
-    const auto exchange = [this, call, fail] {
-        call->stream->expires_after(call->whole ? kCallTime
-                                                : std::chrono::milliseconds(kWaitMs) + kBeyondWait);
+    const auto exchange = [this, call, fail, wait] {
+        call->stream->expires_after(call->whole ? kCallTime : wait + kBeyondWait);
         http::async_write(*call->stream, call->request, [this, call, fail](error_code ec, std::size_t) {
             if (fail(ec)) return;
             http::async_read(*call->stream, call->buffer, call->parser,
@@ -165,8 +170,7 @@
         return handlers_.failed();
     }
     // Soon, for a list that has moved on costs requests; not in step with others, and not in a spin.
-    static std::minstd_rand random{std::random_device{}()};
-    pause_.expires_after(std::chrono::milliseconds(50 + random() % 100));
+    pause_.expires_after(std::chrono::milliseconds(50 + random_.below(100)));
     pause_.async_wait([this](error_code ec) {
         if (!ec) next();
     });
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -9,6 +9,7 @@
 
 #include "net/config.hpp"
 #include "net/http.hpp"
+#include "random.hpp"
 
 namespace kelplb::net {
 
@@ -19,8 +20,9 @@
         std::function<void()> failed;  // where lists are asked for: the call or the watch broke
     };
     // known: the number of the list held already. on_request: lists are asked for, and their failure told.
+    // seed: of how long calls wait.
     Discovery(asio::io_context& io, const tcp::endpoint& at, std::optional<std::uint64_t> known,
-              bool on_request, Handlers handlers);
+              bool on_request, std::uint64_t seed, Handlers handlers);
 
     void watch(bool active);  // where lists are pushed, active from the start
     void fetch();             // the whole list, once
@@ -43,6 +45,7 @@
     void failed(const std::shared_ptr<Call>& call, const std::string& why);
 
     asio::io_context& io_;
+    Random random_;
     tcp::endpoint at_;
     Handlers handlers_;
     std::shared_ptr<Call> call_;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -134,7 +134,7 @@
       discovery_(
           io, start.config.discovery,
           start.config.known && !start.stored_list ? std::optional(start.config.known->seq) : std::nullopt,
-          start.config.settings.list_on_request,
+          start.config.settings.list_on_request, ~start.config.seed,
           {[this](const HostList& list) { listed(list); }, [this] { sidecar_.list_failed(); }}),
       timer_(io),
       trial_timer_(io),
