Lab: a stalled watch hears of nothing new, however often it is opened

Need: the test that takes the asking out must fail its history check. A stalled watch came back by itself when its wait of 20 s ended, later than any list was asked for; with waits of 2 s it came back before the asking could matter, and the mutation passed unseen (Fleet.WithoutAskingTheHistoryCheckFails).

Change: while its sidecar is stalled, a watch hears of no number newer than the one it names, as from a replica that lags; the whole list is told as it is.

--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -32,7 +32,7 @@
         loss,       // datagrams between all sidecars are lost with `probability` for `for_s`
         drain,      // a share of the servers is DRAINING on the list for `for_s`
         anew,       // discovery ends all connections and counts its lists from a lower number on
-        stall,      // the watches of a share of the sidecars are told nothing for `for_s`
+        stall,      // watches of a share of the sidecars hear of nothing new for `for_s`
         settings,   // a new epoch in every file, for a `rollout` share; a share of the sidecars gets SIGHUP
     };
     Kind kind;
--- a/src/lab/standins.cpp
+++ b/src/lab/standins.cpp
@@ -270,7 +270,7 @@
             const auto after = query_number(target, "after");
             const auto wait_ms =
                 std::clamp<std::int64_t>(query_number(target, "wait_ms").value_or(0), 0, kLongestWatchMs);
-            if (after && *after == seq_ && wait_ms > 0) {
+            if (after && (*after == seq_ || stalled_.count(sidecar)) && wait_ms > 0) {
                 auto watch = std::make_shared<asio::steady_timer>(io_, std::chrono::milliseconds(wait_ms));
                 watches_.emplace(watch, sidecar);
                 error_code ignored;
@@ -278,9 +278,10 @@
                 watches_.erase(watch);
             }
             // Without a history of changes, whatever is newer is told as the whole list.
-            const bool whole = !after || *after != seq_;
+            const std::int64_t seq = after && stalled_.count(sidecar) ? *after : seq_;
+            const bool whole = !after || *after != seq;
             nlohmann::json body{
-                {"seq", seq_}, {"whole", whole}, {"hosts", whole ? hosts_ : nlohmann::json::array()}};
+                {"seq", seq}, {"whole", whole}, {"hosts", whole ? hosts_ : nlohmann::json::array()}};
             response.body() = body.dump();
             response.set(http::field::content_type, "application/json");
             if (down_) response = {http::status::service_unavailable, request.version()};
--- a/src/lab/standins.hpp
+++ b/src/lab/standins.hpp
@@ -86,7 +86,8 @@
     std::uint16_t port(int sidecar) const {
         return acceptors_[static_cast<std::size_t>(sidecar)]->local_endpoint().port();
     }
-    // The watches of these are told nothing until their wait is over; none: all are told again.
+    // Watches of these hear of nothing new, however often they are opened; whole lists are told as they are.
+    // None: all are told again.
     void stall(const std::vector<int>& sidecars);
     // As a new process: connections end, and numbers start from a lower one.
     void count_anew();
