The room shrinks with servers whose connections do not come up, before the list tells

Followed by id through all sidecars' decisions: from 5 s on attempts at them came back as refused connections at once ('E ... o4 d0', 131 in that second, 380 in the next) and were placed again on the others, 'room742.98 crowd0.36 used6.7'.

To blame: on(ServerList) in src/balance.cpp was the only place where the room shrank with the pool.

Change: a server whose connection was refused leaves the pool that the room is measured by until it answers again; the sidecar's own arc stands for all. One function for both causes, and cuts in a row no longer count twice what used had lost already.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -84,6 +84,7 @@
     double good = 0, bad = 0;  // our outcomes of late, decayed; bad ones are errors, not late answers
     Millis counted_at = 0, shared_at = -kRefresh;
     bool said_crowded = false;
+    bool reached = true;            // its last connection came up
     bool by_hearsay = false;        // removed on the word of others
     bool shut = false;              // on the others' lists: nothing new goes to it
     FleetEvidence fleet{};          // theirs
@@ -231,6 +232,22 @@
             if (s.listed && s.info.phase == Phase::on) all += s.info.units * warmth(s);
         return all;
     }
+    // Whoever leaves the pool leaves its load to the others, and no answer shows it yet: the room shrinks
+    // with the pool, and grows again if there was some to spare.
+    void shrink_room(double before, double after) {
+        if (after < before && is_thin()) room = std::max(room_floor(), std::min(room, used) * after / before);
+    }
+    // The same where connections do not come up, seconds before the list knows. What this sidecar uses stands
+    // for all: it meets no others.
+    void reach(Server& s, bool reached) {
+        if (s.reached == reached) return;
+        double others = 0, own = s.info.units * warmth(s);
+        for (const Server* other : subset())
+            if (other != &s && other->reached && other->standing == Standing::live)
+                others += other->info.units * warmth(*other);
+        s.reached = reached;
+        if (!reached) shrink_room(others + own, others);
+    }
 
     // ---- Membership -------------------------------------------------------------------------------------
 
@@ -265,10 +282,7 @@
         if (list.kind != ListKind::incremental)
             for (auto& [id, s] : servers) s.listed = false;
         for (const ServerInfo& info : list.servers) learn(info);
-        // Whoever drains leaves its load to the others, and no answer shows it yet: the room shrinks with the
-        // pool, and grows again if there was some to spare. What a saved list said is no measure of the load.
-        if (const double after = capacity(); told && after < before && is_thin())
-            room = std::max(room_floor(), std::min(room, used * after / before));
+        if (told) shrink_room(before, capacity());  // what a saved list said is no measure of the load
         told |= list.kind != ListKind::saved;
         for (auto it = servers.begin(); it != servers.end();) forget_gone(it++);
         release_held();
@@ -288,7 +302,7 @@
         if (fresh || info.online_since > s.info.online_since) {
             s.standing = Standing::live;  // another process under the same name: its record starts anew
             s.window = 0, s.filled = 0;
-            s.good = s.bad = 0, s.said_crowded = s.shut = false, s.fleet = {};
+            s.good = s.bad = 0, s.said_crowded = s.shut = false, s.fleet = {}, s.reached = true;
         }
         s.info = info;
         if (!(s.info.units > 0)) s.info.units = 1;  // nonsense: as if unknown
@@ -768,6 +782,8 @@
     void book(Server& s, const Request& r, const Attempt& a, const AttemptEnded& e) {
         --s.outstanding;
         adapt_room(s, r, e);
+        if (e.outcome == Outcome::refused_connection || e.outcome == Outcome::completed)
+            reach(s, e.outcome == Outcome::completed);
         smooth(served, e.outcome == Outcome::completed ? 1.0 : 0.0);
         const bool good = e.outcome == Outcome::completed && e.duration <= r.kind.aim;
         smooth(timely, good ? 1.0 : 0.0);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -396,6 +396,33 @@
     EXPECT_LE(let_out_after_drop(10), 4) << "four were out at twenty servers";
 }
 
+// How many of a burst go out after this many of twenty servers have refused connections for 2 s, the list
+// saying nothing; and, if they come up again, after a while more.
+int let_out_after_refusals(ServerId refusing, bool back) {
+    Settings s = make_settings({make_class(Effect::once)});
+    s.siblings = 100;
+    Rig rig(s);
+    rig.list(ListKind::full, make_servers(20));
+    std::vector<RequestId> all;
+    for (int i = 0; i < 400; ++i) {
+        const bool down = i >= 60 && (i < 100 || !back);
+        if (!back && i == 100) break;
+        rig.pass(50);
+        const RequestId id = rig.request(0, 60000);
+        while (down && rig.out(id) && rig.where(id) <= refusing) rig.end(id, Outcome::refused_connection, 0);
+        all.push_back(id);  // may be held, and go out later
+        if (i >= 3 && rig.out(all[i - 3])) rig.end(all[i - 3], Outcome::completed, 0);
+    }
+    return rig.still_out(rig.burst(40, 60000));
+}
+
+// A server whose connections do not come up leaves its load to the others seconds before the list tells.
+TEST(Fleet, TheRoomShrinksWithServersThatRefuseConnections) {
+    EXPECT_EQ(let_out_after_refusals(0, false), 40);
+    EXPECT_LE(let_out_after_refusals(6, false), 4) << "four were out at twelve servers";
+    EXPECT_GT(let_out_after_refusals(6, true), 8) << "and grows again when they are back";
+}
+
 // ---- Subset ---------------------------------------------------------------------------------------------
 
 // The servers that one of a hundred sidecars asks, with sixty of them and a request every `gap`.
