--- a/src/lab/clients.cpp
+++ b/src/lab/clients.cpp
@@ -60,13 +60,20 @@
 asio::awaitable<void> Clients::ask(int i) {
     Own& own = own_[static_cast<std::size_t>(i)];
     ++in_flight_;
+    int kind_number = 0;
+    if (experiment_.classes.size() > 1) {
+        std::vector<double> shares;
+        for (const LoadClass& c : experiment_.classes) shares.push_back(c.share);
+        kind_number = std::discrete_distribution<int>(shares.begin(), shares.end())(own.random);
+    }
+    const LoadClass& kind = experiment_.classes[static_cast<std::size_t>(kind_number)];
     const Clock::time_point began = Clock::now();
     const Clock::time_point deadline =
         began + std::chrono::duration_cast<Clock::duration>(
-                    std::chrono::duration<double, std::milli>(experiment_.time_left_ms));
+                    std::chrono::duration<double, std::milli>(kind.time_left_ms));
     Try result = Try::lost;
     for (int tried = 0;; ++tried) {
-        result = co_await attempt(i, correlation_id(i, own.serial++), deadline);
+        result = co_await attempt(i, kind, correlation_id(i, own.serial++), deadline);
         // A refusal is harmless to try again, a little later and with a fresh id, while time is left.
         if (result != Try::refused || tried >= experiment_.retries || Clock::now() + 50ms > deadline) break;
         asio::steady_timer pause(io_, std::chrono::milliseconds(10 + own.random() % 40));
@@ -74,13 +81,14 @@
         co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
     const double latency_ms = std::chrono::duration<double, std::milli>(Clock::now() - began).count();
-    recorder_.outcome(i, static_cast<Outcome>(result), latency_ms);
+    recorder_.outcome(i, static_cast<Outcome>(result), latency_ms, kind_number);
     --in_flight_;
 }
 
-asio::awaitable<Clients::Try> Clients::attempt(int i, const std::string& id, Clock::time_point deadline) {
+asio::awaitable<Clients::Try> Clients::attempt(int i, const LoadClass& kind, const std::string& id,
+                                               Clock::time_point deadline) {
     Own& own = own_[static_cast<std::size_t>(i)];
-    const std::string target = "/listen?sid=" + id;
+    const std::string target = "/" + kind.name + "?sid=" + id;
     for (int round = 0; round < 2; ++round) {
         std::unique_ptr<beast::tcp_stream> stream;
         const bool reused = round == 0 && !own.idle.empty();
@@ -101,12 +109,13 @@
         }
         const auto left =
             std::chrono::duration_cast<std::chrono::milliseconds>(deadline - Clock::now()).count();
-        http::request<http::empty_body> request{http::verb::get, target, 11};
+        http::request<http::string_body> request{kind.once ? http::verb::post : http::verb::get, target, 11};
         request.set(http::field::host, "api.internal");
         request.set("X-Correlation-Id", id);
-        request.set("X-Service-Class", "listen");
+        request.set("X-Service-Class", kind.name);
         request.set("X-Account", "t" + std::to_string(i % 3));
         request.set("X-Time-Left", std::to_string(std::max<std::int64_t>(1, left)) + "m");
+        request.prepare_payload();
         stream->expires_at(deadline + kAfterDeadline);
         co_await http::async_write(*stream, request, asio::redirect_error(asio::use_awaitable, ec));
         beast::flat_buffer buffer;
--- a/src/lab/clients.hpp
+++ b/src/lab/clients.hpp
@@ -43,7 +43,8 @@
 
     asio::awaitable<void> arrivals(int i, Clock::time_point until);
     asio::awaitable<void> ask(int i);
-    asio::awaitable<Try> attempt(int i, const std::string& id, Clock::time_point deadline);
+    asio::awaitable<Try> attempt(int i, const LoadClass& kind, const std::string& id,
+                                 Clock::time_point deadline);
 
     asio::io_context& io_;
     const Experiment& experiment_;
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -92,7 +92,8 @@
     {"zone", Fault::Kind::zone},           {"discovery", Fault::Kind::discovery},
     {"partition", Fault::Kind::partition}, {"loss", Fault::Kind::loss},
     {"drain", Fault::Kind::drain},         {"anew", Fault::Kind::anew},
-    {"stall", Fault::Kind::stall},         {"settings", Fault::Kind::settings}};
+    {"stall", Fault::Kind::stall},         {"settings", Fault::Kind::settings},
+    {"silence", Fault::Kind::silence},     {"replace", Fault::Kind::replace}};
 
 const std::map<std::string, ServerMode> kModes{{"ok", ServerMode::ok},
                                                {"silent", ServerMode::silent},
@@ -110,6 +111,22 @@
     throw ExperimentError(field, "`" + text + "` is none of " + known);
 }
 
+LoadClass read_class(const toml::table& table, const std::string& path, const Experiment& e) {
+    Table t(table, path);
+    LoadClass c;
+    c.name.clear();
+    t.take("name", c.name);
+    if (c.name.empty() || c.name.find_first_of("/?# ") != std::string::npos)
+        throw ExperimentError(t.path("name"), "a word is wanted");
+    t.take("once", c.once, 0, 0);
+    t.take("share", c.share, 0.001, 1000);
+    t.take("worth", c.worth, 0, 1e6);
+    t.take("time_left_ms", c.time_left_ms = e.time_left_ms, 1, 600000);
+    t.take("on_time_ms", c.on_time_ms = e.on_time_ms, 1, 600000);
+    t.finish();
+    return c;
+}
+
 Fault read_fault(const toml::table& table, const std::string& path) {
     Table t(table, path);
     Fault fault{};
@@ -196,8 +213,22 @@
         t.take("on_time_ms", e.on_time_ms, 1, 600000);
         t.take("retries", e.retries, 0, 2);
         t.take("connections", e.client_connections, 1, 1000);
+        if (const toml::array* classes = t.array("classes")) {
+            e.classes.clear();
+            for (std::size_t i = 0; i < classes->size(); ++i) {
+                const std::string where = "load.classes[" + std::to_string(i) + "]";
+                const toml::table* one = (*classes)[i].as_table();
+                if (!one) throw ExperimentError(where, "a table is wanted");
+                e.classes.push_back(read_class(*one, where, e));
+            }
+            if (e.classes.empty()) throw ExperimentError("load.classes", "one class at least");
+        }
         t.finish();
     }
+    for (LoadClass& c : e.classes) {
+        if (c.time_left_ms == 0) c.time_left_ms = e.time_left_ms;
+        if (c.on_time_ms == 0) c.on_time_ms = e.on_time_ms;
+    }
     if (const toml::table* relay = top.table("relay")) {
         Table t(*relay, "relay");
         t.take("delay_ms", e.relay_delay_ms, 0, 60000);
--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -33,6 +33,8 @@
         drain,      // a share of the servers is DRAINING on the list for `for_s`
         anew,       // discovery ends all connections and counts its lists from a lower number on
         stall,      // watches of a share of the sidecars hear of nothing new for `for_s`
+        silence,    // watches that a share of the sidecars has open get nothing any more; new ones do
+        replace,    // a share of the servers gives way to cold ones under new names, in steps over `for_s`
         settings,   // a new epoch in every file, for a `rollout` share; a share of the sidecars gets SIGHUP
     };
     Kind kind;
@@ -44,6 +46,16 @@
     double rollout = 1;                    // settings
 };
 
+// A class of requests, as clients ask them and sidecars are told them.
+struct LoadClass {
+    std::string name = "listen";
+    bool once = false;        // must not run twice: POST
+    double share = 1;         // of the requests, against the other classes'
+    double worth = 1;         // of one
+    double time_left_ms = 0;  // 0: the load's
+    double on_time_ms = 0;    // its aim; 0: the load's
+};
+
 struct Experiment {
     std::string name;
     std::uint64_t seed = 1;
@@ -75,6 +87,7 @@
     double on_time_ms = 250;      // the class's aim, as the sidecars are told it
     int retries = 2;              // a client tries again at most so often after a refusal
     int client_connections = 16;  // per sidecar, at the most
+    std::vector<LoadClass> classes{LoadClass{}};
 
     double relay_delay_ms = 0;   // datagrams between sidecars: fixed delay plus up to as much again
     double relay_loss = 0;       // and a share of them lost, from the start
--- a/src/lab/lab.cpp
+++ b/src/lab/lab.cpp
@@ -87,6 +87,10 @@
             return "anew";
         case Fault::Kind::stall:
             return "stall";
+        case Fault::Kind::silence:
+            return "silence";
+        case Fault::Kind::replace:
+            return "replace";
         case Fault::Kind::settings:
             return "settings";
     }
@@ -99,7 +103,7 @@
         : e_(e),
           options_(options),
           log_(std::move(log)),
-          recorder_(e.servers, e.sidecars, e.seconds),
+          recorder_(e.servers, e.sidecars, e.seconds, static_cast<int>(e.classes.size())),
           discovery_(io_, recorder_),
           relay_(io_, e, recorder_),
           children_(io_, SIGCHLD) {}
@@ -163,22 +167,39 @@
 
     json hosts() const {
         json list = json::array();
+        const auto add = [&](const GuideServer& server, int generation, bool draining, std::int64_t born) {
+            const auto place = static_cast<std::size_t>(server.index());
+            char name[32];
+            std::snprintf(name, sizeof name, generation > 0 ? "s-%03d.%d" : "s-%03d", server.index(),
+                          generation);
+            list.push_back({{"host", name},
+                            {"dial", loopback(server.port())},
+                            {"site", e_.zones[place % e_.zones.size()]},
+                            {"class", "m"},
+                            {"block", 0},
+                            {"health", draining ? "DRAINING" : "SERVING"},
+                            {"share", 1.0},
+                            {"born_ms", born}});
+        };
         for (const auto& server : servers_) {
-            char name[16];
-            std::snprintf(name, sizeof name, "s-%03d", server->index());
-            list.push_back(
-                {{"host", name},
-                 {"dial", loopback(server->port())},
-                 {"site", e_.zones[static_cast<std::size_t>(server->index()) % e_.zones.size()]},
-                 {"class", "m"},
-                 {"block", 0},
-                 {"health", draining_[static_cast<std::size_t>(server->index())] ? "DRAINING" : "SERVING"},
-                 {"share", 1.0},
-                 {"born_ms", born_ms_[static_cast<std::size_t>(server->index())]}});
+            const auto place = static_cast<std::size_t>(server->index());
+            add(*server, generation_[place], draining_[place], born_ms_[place]);
         }
+        for (const Leaving& old : leaving_) add(*old.server, old.generation, true, old.born_ms);
         return list;
     }
 
+    json classes() const {
+        json all = json::array();
+        for (const LoadClass& c : e_.classes)
+            all.push_back({{"name", c.name},
+                           {"effect", c.once ? "once" : "repeatable"},
+                           {"on-time-ms", c.on_time_ms + epoch_},
+                           {"give-up-ms", c.time_left_ms},
+                           {"credit", c.worth}});
+        return all;
+    }
+
     json config(const SidecarSpec& s, int start) const {
         json peers = json::array();
         for (int i = 0; i < e_.sidecars; ++i) peers.push_back(loopback(relay_.port(i)));
@@ -198,11 +219,7 @@
             {"peers_all", loopback(relay_.all_port())},
             {"known", {{"seq", discovery_.seq()}, {"whole", true}, {"hosts", discovery_.hosts()}}},
             {"settings",
-             {{"classes", json::array({{{"name", "listen"},
-                                        {"effect", "repeatable"},
-                                        {"on-time-ms", e_.on_time_ms + epoch_},
-                                        {"give-up-ms", e_.time_left_ms},
-                                        {"credit", 1}}})},
+             {{"classes", classes()},
               {"siblings", e_.sidecars},
               {"my-number", s.index},
               {"my-zone", s.zone},
@@ -399,6 +416,20 @@
                 discovery_.stall({});
                 break;
             }
+            case Fault::Kind::silence: {
+                const std::vector<int> chosen = pick(e_.sidecars, f.share, random);
+                discovery_.silence(chosen);
+                said["silent"] = chosen;
+                event(said);
+                break;
+            }
+            case Fault::Kind::replace: {
+                const std::vector<int> chosen = pick(e_.servers, f.share, random);
+                said["replaced"] = chosen;
+                event(said);
+                co_await replace(chosen, f.for_s);
+                break;
+            }
             case Fault::Kind::settings: {
                 ++epoch_, rollout_ = f.rollout;
                 for (int i = 0; i < e_.sidecars; ++i) fleet_->rewrite(i);
@@ -421,6 +452,30 @@
         event({{"event", "fault_over"}, {"kind", kind_name(f.kind)}, {"number", number}});
     }
 
+    // A release: in each step new servers start cold under new names, those they replace drain from then on
+    // and are gone with the step after.
+    asio::awaitable<void> replace(const std::vector<int>& chosen, double for_s) {
+        constexpr std::size_t kSteps = 5;
+        const Clock::time_point began = Clock::now();
+        for (std::size_t step = 0; step <= kSteps; ++step) {
+            for (Leaving& old : leaving_) old.server->stop();
+            leaving_.clear();
+            for (std::size_t i = step; i < chosen.size() && step < kSteps; i += kSteps) {
+                const auto place = static_cast<std::size_t>(chosen[i]);
+                auto fresh =
+                    std::make_shared<GuideServer>(io_, chosen[i], servers_[place]->speed(), e_, recorder_);
+                fresh->start();
+                recorder_.server_cold(chosen[i]);
+                servers_[place]->replaced();
+                leaving_.push_back({std::move(servers_[place]), generation_[place]++, born_ms_[place]});
+                servers_[place] = std::move(fresh);
+                born_ms_[place] = std::llround(wall_ms());
+            }
+            discovery_.publish(hosts());
+            co_await sleep_until(began + seconds(for_s * static_cast<double>(step + 1) / kSteps));
+        }
+    }
+
     const Experiment& e_;
     const RunOptions& options_;
     std::shared_ptr<spdlog::logger> log_;
@@ -432,6 +487,13 @@
     asio::signal_set children_;
     std::vector<std::shared_ptr<GuideServer>> servers_;
     std::vector<std::int64_t> born_ms_ = std::vector<std::int64_t>(static_cast<std::size_t>(e_.servers), 0);
+    struct Leaving {
+        std::shared_ptr<GuideServer> server;
+        int generation = 0;
+        std::int64_t born_ms = 0;
+    };
+    std::vector<Leaving> leaving_;
+    std::vector<int> generation_ = std::vector<int>(static_cast<std::size_t>(e_.servers), 0);
     std::unique_ptr<Clients> clients_;
     std::unique_ptr<Fleet> fleet_;
     std::vector<char> draining_ = std::vector<char>(static_cast<std::size_t>(e_.servers), 0);
--- a/src/lab/record.cpp
+++ b/src/lab/record.cpp
@@ -31,10 +31,11 @@
     return static_cast<int>(value >> 44);
 }
 
-Recorder::Recorder(int servers, int sidecars, double seconds)
+Recorder::Recorder(int servers, int sidecars, double seconds, int classes)
     : servers_(static_cast<std::size_t>(servers)),
       sidecars_(static_cast<std::size_t>(sidecars)),
-      seconds_(static_cast<std::size_t>(std::ceil(seconds))) {
+      seconds_(static_cast<std::size_t>(std::ceil(seconds))),
+      classes_(static_cast<std::size_t>(classes)) {
     for (Server& s : servers_) {
         s.requests.assign(seconds_.size(), 0);
         s.connections.assign(seconds_.size(), 0);
@@ -98,7 +99,8 @@
     std::fill(s.sent_since_cold.begin(), s.sent_since_cold.end(), 0);
 }
 
-void Recorder::outcome(int sidecar, Outcome outcome, double latency_ms) {
+void Recorder::outcome(int sidecar, Outcome outcome, double latency_ms, int kind) {
+    ++classes_[static_cast<std::size_t>(kind)].outcomes[static_cast<int>(outcome)];
     Sidecar& s = sidecars_[static_cast<std::size_t>(sidecar)];
     ++s.outcomes[static_cast<int>(outcome)];
     if (outcome == Outcome::served) s.latency_sum_ms += latency_ms;
--- a/src/lab/record.hpp
+++ b/src/lab/record.hpp
@@ -20,7 +20,7 @@
 class Recorder {
 public:
     using Clock = std::chrono::steady_clock;
-    Recorder(int servers, int sidecars, double seconds);
+    Recorder(int servers, int sidecars, double seconds, int classes = 1);
 
     void start(Clock::time_point at) { start_ = at; }
     // The second of the run that `at` falls in; -1 before the start, the last second after the end.
@@ -31,7 +31,7 @@
     void server_speed(int server, double speed) { servers_[static_cast<std::size_t>(server)].speed = speed; }
     void server_live(int server, bool live);  // a server that is down or faulty is no idle one
     void server_cold(int server);             // started again: first requests of each sidecar are counted
-    void outcome(int sidecar, Outcome outcome, double latency_ms);
+    void outcome(int sidecar, Outcome outcome, double latency_ms, int kind = 0);
     void discovery_call();
     void datagram(std::size_t bytes, bool dropped);
     // At the end of a run: a server still not live is marked so to the last second.
@@ -52,6 +52,9 @@
         std::uint64_t outcomes[kOutcomes] = {};
         double latency_sum_ms = 0;
     };
+    struct Class {
+        std::uint64_t outcomes[kOutcomes] = {};
+    };
     struct Second {
         std::uint64_t outcomes[kOutcomes] = {};
         std::uint64_t discovery_calls = 0, datagrams = 0, datagram_bytes = 0, datagrams_dropped = 0;
@@ -60,6 +63,7 @@
     const std::vector<Server>& servers() const { return servers_; }
     const std::vector<Sidecar>& sidecars() const { return sidecars_; }
     const std::vector<Second>& seconds() const { return seconds_; }
+    const std::vector<Class>& classes() const { return classes_; }  // in the experiment's order
     int length() const { return static_cast<int>(seconds_.size()); }
 
 private:
@@ -69,6 +73,7 @@
     std::vector<Server> servers_;
     std::vector<Sidecar> sidecars_;
     std::vector<Second> seconds_;
+    std::vector<Class> classes_;
 };
 
 }  // namespace kelplb::lab
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -136,6 +136,15 @@
         outcomes[outcome_name(static_cast<Outcome>(o))] = totals[o];
         all += totals[o];
     }
+    nlohmann::json classes = nlohmann::json::array();
+    for (std::size_t i = 0; i < recorder.classes().size(); ++i) {
+        const auto& of = recorder.classes()[i].outcomes;
+        const std::uint64_t asked = std::accumulate(std::begin(of), std::end(of), std::uint64_t{0});
+        classes.push_back(
+            {{"name", experiment.classes[i].name},
+             {"requests", asked},
+             {"served_share", asked ? static_cast<double>(of[0]) / static_cast<double>(asked) : 1.0}});
+    }
     const double measured = to - from;
     const double seconds = recorder.length();
     const auto mean = [](const std::vector<double>& v) {
@@ -150,6 +159,7 @@
         {"requests", all},
         {"outcomes", outcomes},
         {"served_share", all ? static_cast<double>(totals[0]) / static_cast<double>(all) : 0.0},
+        {"classes", classes},
         {"sidecars_that_served_nothing", silent_sidecars},
         {"load",
          {{"jain_mean", mean(jains)},
--- a/src/lab/standins.cpp
+++ b/src/lab/standins.cpp
@@ -89,7 +89,7 @@
 
 void GuideServer::stop() {
     up_ = false;
-    recorder_.server_live(index_, false);
+    if (counted_live_) recorder_.server_live(index_, false);
     error_code ignored;
     if (acceptor_) acceptor_->close(ignored);
     for (const auto& stream : open_) stream->socket().close(ignored);
@@ -217,12 +217,17 @@
 void Discovery::publish(nlohmann::json hosts) {
     hosts_ = std::move(hosts);
     ++seq_;
-    for (const auto& [watch, sidecar] : watches_)
-        if (!stalled_.count(sidecar)) watch->cancel();
+    for (const auto& [timer, watch] : watches_)
+        if (!stalled_.count(watch.sidecar) && !watch.silent) timer->cancel();
 }
 
 void Discovery::stall(const std::vector<int>& sidecars) { stalled_ = {sidecars.begin(), sidecars.end()}; }
 
+void Discovery::silence(const std::vector<int>& sidecars) {
+    const std::set<int> chosen{sidecars.begin(), sidecars.end()};
+    for (auto& [timer, watch] : watches_) watch.silent |= chosen.count(watch.sidecar) > 0;
+}
+
 void Discovery::count_anew() {
     seq_ = 0;
     const auto open = std::move(open_);
@@ -272,10 +277,17 @@
                 std::clamp<std::int64_t>(query_number(target, "wait_ms").value_or(0), 0, kLongestWatchMs);
             if (after && (*after == seq_ || stalled_.count(sidecar)) && wait_ms > 0) {
                 auto watch = std::make_shared<asio::steady_timer>(io_, std::chrono::milliseconds(wait_ms));
-                watches_.emplace(watch, sidecar);
+                watches_[watch].sidecar = sidecar;
                 error_code ignored;
                 co_await watch->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+                const bool silent = watches_.at(watch).silent;
                 watches_.erase(watch);
+                if (silent) {  // until the sidecar gives it up
+                    char ignored_byte;
+                    co_await stream->socket().async_read_some(asio::buffer(&ignored_byte, 1),
+                                                              asio::redirect_error(asio::use_awaitable, ec));
+                    break;
+                }
             }
             // Without a history of changes, whatever is newer is told as the whole list.
             const std::int64_t seq = after && stalled_.count(sidecar) ? *after : seq_;
--- a/src/lab/standins.hpp
+++ b/src/lab/standins.hpp
@@ -48,6 +48,8 @@
 
     void start();  // listens on a port of the kernel's; later starts reuse it, cold
     void stop();   // refuses connections and breaks those it holds, as a vanished machine's
+    // Another one has this number now: what it still does counts, whether it is up does not.
+    void replaced() { counted_live_ = false; }
     void set_mode(ServerMode mode);
     ServerMode mode() const { return mode_; }
     bool up() const { return up_; }
@@ -67,7 +69,7 @@
     Recorder& recorder_;
     SlotQueue queue_;
     ServerMode mode_ = ServerMode::ok;
-    bool up_ = false;
+    bool up_ = false, counted_live_ = true;
     std::uint16_t port_ = 0;
     std::uint64_t connections_ = 0;  // served so far, for each one's seed
     std::chrono::steady_clock::time_point started_{};
@@ -89,6 +91,8 @@
     // Watches of these hear of nothing new, however often they are opened; whole lists are told as they are.
     // None: all are told again.
     void stall(const std::vector<int>& sidecars);
+    // The watches that these have open get nothing any more, as on a connection cut off in silence.
+    void silence(const std::vector<int>& sidecars);
     // As a new process: connections end, and numbers start from a lower one.
     void count_anew();
     std::int64_t seq() const { return seq_; }
@@ -110,7 +114,11 @@
     nlohmann::json hosts_ = nlohmann::json::array();
     bool down_ = false;
     SlotQueue queue_{1};
-    std::map<std::shared_ptr<asio::steady_timer>, int> watches_;  // whose each is
+    struct Watch {
+        int sidecar = 0;
+        bool silent = false;
+    };
+    std::map<std::shared_ptr<asio::steady_timer>, Watch> watches_;
 };
 
 }  // namespace kelplb::lab
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -91,6 +91,9 @@
     EXPECT_EQ(field_of("[fleet]\nsidecars = 0"), "fleet.sidecars");
     EXPECT_EQ(field_of("[fleet]\nsidecars = 2.5"), "fleet.sidecars");
     EXPECT_EQ(field_of("[load]\nretries = 3"), "load.retries");
+    EXPECT_EQ(field_of("[[load.classes]]\nshare = 1"), "load.classes[0].name");
+    EXPECT_EQ(field_of("[[load.classes]]\nname = \"a/b\""), "load.classes[0].name");
+    EXPECT_EQ(field_of("[load]\nclasses = []"), "load.classes");
     EXPECT_EQ(field_of("[servers]\ncuont = 3"), "servers.cuont");
     EXPECT_EQ(field_of("[[faults]]\nkind = \"flood\""), "faults[0].kind");
     EXPECT_EQ(field_of("[[faults]]\nat_s = 1"), "faults[0].kind");
@@ -241,6 +244,60 @@
     EXPECT_EQ(summary["outcomes"]["failed"], 0);
 }
 
+// Every watch falls silent, then six in ten servers are replaced. Who holds on to the old list has four
+// tenths of the servers for load that takes six, and sends to none of the new ones; the class of least worth
+// pays first.
+TEST(Fleet, EveryClassIsServedThroughAReleaseThatSilentWatchesMiss) {
+    Folder folder;
+    const Experiment e = folder.experiment(R"(
+name = "join"
+seed = 4
+seconds = 14
+warmup_s = 1
+[fleet]
+sidecars = 16
+[servers]
+count = 10
+work_ms = 25
+concurrency = 1
+cold_from = 0.3
+warm_ms = 3000
+[load]
+rate = 15
+[[load.classes]]
+name = "track"
+share = 40
+worth = 2
+on_time_ms = 300
+time_left_ms = 800
+[[load.classes]]
+name = "charge"
+once = true
+share = 60
+worth = 10
+on_time_ms = 300
+time_left_ms = 800
+[[faults]]
+kind = "silence"
+at_s = 0.5
+share = 1
+[[faults]]
+kind = "replace"
+at_s = 1
+share = 0.6
+for_s = 2
+)");
+    const auto summary = played(e, folder);
+    EXPECT_EQ(summary["processes"]["crashed"], 0);
+    EXPECT_EQ(summary["faults_failed"], 0);
+    EXPECT_EQ(summary["outcomes"]["lost"], 0);
+    ASSERT_EQ(summary["classes"].size(), 2u);
+    for (const auto& c : summary["classes"]) {
+        EXPECT_GT(c["requests"], 16 * 15 * 14 * 0.2) << c;
+        EXPECT_GT(c["served_share"], 0.8) << c;
+    }
+}
+
 // Versions the sidecars agree on, on real processes: a third of the watches is told nothing of a drain,
 // discovery counts anew, and settings reach one sidecar in eight by SIGHUP. The same run without the asking
 // must not pass.
