--- a/setup.sh
+++ b/setup.sh
@@ -9,7 +9,7 @@
 [ "$(id -u)" = 0 ] || sudo=sudo
 $sudo apt-get update -q
 $sudo apt-get install -qy --no-install-recommends g++ cmake make clang-format-14 libgtest-dev libboost-dev \
-    nlohmann-json3-dev libcli11-dev libtomlplusplus-dev libspdlog-dev libxxhash-dev librapidcheck-dev gnuplot-nox
+    nlohmann-json3-dev libcli11-dev libtomlplusplus-dev libspdlog-dev libxxhash-dev librapidcheck-dev gnuplot-nox python3
 cmake -B build -DCMAKE_BUILD_TYPE=Release -DKELPLB_TESTS=OFF -DKELPLB_LAB=ON
 cmake --build build -j"$(nproc)"
 experiment=${1:-experiments/small.toml}
