--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -84,7 +84,7 @@
     double good = 0, bad = 0;  // our outcomes of late, decayed; bad ones are errors, not late answers
     Millis counted_at = 0, shared_at = -kRefresh;
     bool said_crowded = false;
-    bool reached = true;            // it refused no connection since its last answer
+    bool reached = true;            // its last connection came up
     bool by_hearsay = false;        // removed on the word of others
     bool shut = false;              // on the others' lists: nothing new goes to it
     FleetEvidence fleet{};          // theirs
@@ -237,7 +237,7 @@
     void shrink_room(double before, double after) {
         if (after < before && is_thin()) room = std::max(room_floor(), std::min(room, used) * after / before);
     }
-    // The same where connections are refused, seconds before the list knows. What this sidecar uses stands
+    // The same where connections do not come up, seconds before the list knows. What this sidecar uses stands
     // for all: it meets no others.
     void reach(Server& s, bool reached) {
         if (s.reached == reached) return;
@@ -782,9 +782,8 @@
     void book(Server& s, const Request& r, const Attempt& a, const AttemptEnded& e) {
         --s.outstanding;
         adapt_room(s, r, e);
-        // Refused at once, its process is gone; one that did not come up in time may only be late.
-        const bool refused = e.outcome == Outcome::refused_connection && e.duration <= r.kind.aim * kHold;
-        if (refused || e.outcome == Outcome::completed) reach(s, !refused);
+        if (e.outcome == Outcome::refused_connection || e.outcome == Outcome::completed)
+            reach(s, e.outcome == Outcome::completed);
         smooth(served, e.outcome == Outcome::completed ? 1.0 : 0.0);
         const bool good = e.outcome == Outcome::completed && e.duration <= r.kind.aim;
         smooth(timely, good ? 1.0 : 0.0);
