Tests of the watch tell it again from a call that does not wait

Cause: when waits came to be drawn, FakeDiscovery cut '&wait_ms=N' off the target whole, so '/v1/servers?after=5' without any wait would have passed for a watch. Change: only the figure is cut off; each expectation names '&wait_ms=' again, as before.

--- a/tests/keeper_test.cpp
+++ b/tests/keeper_test.cpp
@@ -268,7 +268,7 @@
     EXPECT_EQ(silent.wait_for(1).at(0), "/v1/servers") << "a list from the disk is no measure of what is new";
     // Discovery that has begun anew counts lower than what was stored, and is believed.
     silent.say(1, true, {host("s1", server.at())});
-    EXPECT_EQ(silent.wait_for(2).at(1), "/v1/servers?after=1");
+    EXPECT_EQ(silent.wait_for(2).at(1), "/v1/servers?after=1&wait_ms=");
 }
 
 }  // namespace
--- a/tests/net_rig.hpp
+++ b/tests/net_rig.hpp
@@ -202,7 +202,7 @@
                   std::string target(request.target());
                   if (const auto wait = target.find(kWaitIs); wait != std::string::npos) {
                       waits_.push_back(std::stoi(target.substr(wait + kWaitIs.size())));
-                      target.resize(wait);
+                      target.resize(wait + kWaitIs.size());
                   }
                   asked_.push_back(target);
                   changed_.notify_all();
@@ -232,7 +232,7 @@
         say(json{{"seq", seq}, {"whole", whole}, {"hosts", hosts}}.dump());
     }
     void fall_silent() { say(kSilence); }  // one call stays open and gets nothing
-    // The targets; of a watch without how long it may wait.
+    // The targets; of a watch up to how long it may wait, which waits() tells.
     std::vector<std::string> wait_for(std::size_t calls) {
         std::unique_lock lock(mutex_);
         EXPECT_TRUE(changed_.wait_for(lock, kPatience, [&] { return asked_.size() >= calls; }));
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -502,7 +502,7 @@
     FakeServer server;
     FakeDiscovery discovery;
     Running sidecar(a_config(discovery.at(), {host("s1", kNowhere)}));
-    EXPECT_EQ(discovery.wait_for(1).at(0), "/v1/servers?after=5");
+    EXPECT_EQ(discovery.wait_for(1).at(0), "/v1/servers?after=5&wait_ms=");
     discovery.say("{\"seq\":");
     EXPECT_EQ(discovery.wait_for(2).at(1), "/v1/servers");
     discovery.say(4, true, {});  // older than what is held
@@ -510,7 +510,7 @@
     discovery.say("");  // down: the connection ends
     EXPECT_EQ(discovery.wait_for(4).at(3), "/v1/servers");
     discovery.say(9, true, {host("s2", server.at())});
-    EXPECT_EQ(discovery.wait_for(5).at(4), "/v1/servers?after=9");
+    EXPECT_EQ(discovery.wait_for(5).at(4), "/v1/servers?after=9&wait_ms=");
     App app(sidecar.at);
     const auto start = steady_clock::now();  // the next call goes out just ahead of the list's being used
     while (app.ask(App::request("listen")).result_int() != 200u) ASSERT_LT(seconds_since(start), 30);
@@ -521,12 +521,12 @@
 TEST(Watch, AfterACallThatFailedItAsksForChangesOnly) {
     FakeDiscovery discovery;
     Running sidecar(a_config(discovery.at(), {host("s1", kNowhere)}));
-    EXPECT_EQ(discovery.wait_for(1).at(0), "/v1/servers?after=5");
+    EXPECT_EQ(discovery.wait_for(1).at(0), "/v1/servers?after=5&wait_ms=");
     discovery.say("");  // down: the connection ends
-    EXPECT_EQ(discovery.wait_for(2).at(1), "/v1/servers?after=5");
+    EXPECT_EQ(discovery.wait_for(2).at(1), "/v1/servers?after=5&wait_ms=");
     discovery.say(6, false, {host("s2", kNowhere)});
     discovery.say("");
-    EXPECT_EQ(discovery.wait_for(4).at(3), "/v1/servers?after=6");
+    EXPECT_EQ(discovery.wait_for(4).at(3), "/v1/servers?after=6&wait_ms=");
 }
 
 // A whole list that takes longer than a connection is waited for: who leaves asks again and leaves the work
@@ -539,7 +539,7 @@
     EXPECT_EQ(discovery.wait_for(1).at(0), "/v1/servers");
     std::this_thread::sleep_for(std::chrono::milliseconds(2500));  // over the time a connection gets
     discovery.say(1, true, {host("s1", kNowhere)});
-    EXPECT_EQ(discovery.wait_for(2).at(1), "/v1/servers?after=1") << "it was waited for";
+    EXPECT_EQ(discovery.wait_for(2).at(1), "/v1/servers?after=1&wait_ms=") << "it was waited for";
 }
 
 // A watch that falls silent is as open as one that has nothing to say. Its wait bounds what it may hide: with
@@ -551,7 +551,7 @@
     Running sidecar(a_config(discovery.at(), {host("s1", kNowhere)}));
     discovery.fall_silent();
     discovery.say(6, false, {host("s1", kNowhere, "DELETED"), host("s2", server.at())});
-    EXPECT_EQ(discovery.wait_for(2).at(1), "/v1/servers?after=5");
+    EXPECT_EQ(discovery.wait_for(2).at(1), "/v1/servers?after=5&wait_ms=");
     discovery.wait_for(3);
     App app(sidecar.at);
     EXPECT_EQ(app.ask(App::request("listen")).result_int(), 200u);
@@ -575,7 +575,7 @@
     file.write("{\"discovery\":");
     sidecar.reload();
     old.say(7, false, {});
-    EXPECT_EQ(old.wait_for(2).at(1), "/v1/servers?after=7") << "the old one is kept";
+    EXPECT_EQ(old.wait_for(2).at(1), "/v1/servers?after=7&wait_ms=") << "the old one is kept";
     config["discovery"] = fresh.at();
     file.write(config.dump());
     ::setenv("NODE_DISCOVERY", old.at().c_str(), 1);
@@ -583,7 +583,7 @@
     EXPECT_EQ(fresh.wait_for(1).at(0), "/v1/servers");
     old.say(8, true, {});
     fresh.say(2, true, {host("s2", second.at())});
-    EXPECT_EQ(fresh.wait_for(2).at(1), "/v1/servers?after=2");
+    EXPECT_EQ(fresh.wait_for(2).at(1), "/v1/servers?after=2&wait_ms=");
     ::unsetenv("NODE_DISCOVERY");
     const auto start = steady_clock::now();
     while (second.seen().empty()) {
