Lab: classes dealt by one table, their defaults set in one place, one sleep_until

The shares' table was built for each request; the load's deadline and aim were put into a class by its reader and again by the loop behind it; sleep_until stood in standins.cpp and lab.cpp alike.

--- a/src/lab/clients.cpp
+++ b/src/lab/clients.cpp
@@ -20,6 +20,9 @@
 Clients::Clients(asio::io_context& io, const Experiment& experiment, Recorder& recorder,
                  std::vector<tcp::endpoint> sidecars)
     : io_(io), experiment_(experiment), recorder_(recorder), own_(sidecars.size()) {
+    std::vector<double> shares;
+    for (const LoadClass& c : experiment.classes) shares.push_back(c.share);
+    classes_ = std::discrete_distribution<int>(shares.begin(), shares.end());
     std::mt19937_64 deal(experiment.seed * 31 + 7);
     std::uniform_real_distribution<double> unit(0, 1);
     for (std::size_t i = 0; i < own_.size(); ++i) {
@@ -60,12 +63,7 @@
 asio::awaitable<void> Clients::ask(int i) {
     Own& own = own_[static_cast<std::size_t>(i)];
     ++in_flight_;
-    int kind_number = 0;
-    if (experiment_.classes.size() > 1) {
-        std::vector<double> shares;
-        for (const LoadClass& c : experiment_.classes) shares.push_back(c.share);
-        kind_number = std::discrete_distribution<int>(shares.begin(), shares.end())(own.random);
-    }
+    const int kind_number = classes_(own.random);
     const LoadClass& kind = experiment_.classes[static_cast<std::size_t>(kind_number)];
     const Clock::time_point began = Clock::now();
     const Clock::time_point deadline =
--- a/src/lab/clients.hpp
+++ b/src/lab/clients.hpp
@@ -50,6 +50,7 @@
     const Experiment& experiment_;
     Recorder& recorder_;
     std::vector<Own> own_;
+    std::discrete_distribution<int> classes_;  // of the experiment, by their shares
     std::uint64_t in_flight_ = 0;
 };
 
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -111,7 +111,7 @@
     throw ExperimentError(field, "`" + text + "` is none of " + known);
 }
 
-LoadClass read_class(const toml::table& table, const std::string& path, const Experiment& e) {
+LoadClass read_class(const toml::table& table, const std::string& path) {
     Table t(table, path);
     LoadClass c;
     c.name.clear();
@@ -121,8 +121,8 @@
     t.take("once", c.once, 0, 0);
     t.take("share", c.share, 0.001, 1000);
     t.take("worth", c.worth, 0, 1e6);
-    t.take("time_left_ms", c.time_left_ms = e.time_left_ms, 1, 600000);
-    t.take("on_time_ms", c.on_time_ms = e.on_time_ms, 1, 600000);
+    t.take("time_left_ms", c.time_left_ms, 1, 600000);
+    t.take("on_time_ms", c.on_time_ms, 1, 600000);
     t.finish();
     return c;
 }
@@ -219,7 +219,7 @@
                 const std::string where = "load.classes[" + std::to_string(i) + "]";
                 const toml::table* one = (*classes)[i].as_table();
                 if (!one) throw ExperimentError(where, "a table is wanted");
-                e.classes.push_back(read_class(*one, where, e));
+                e.classes.push_back(read_class(*one, where));
             }
             if (e.classes.empty()) throw ExperimentError("load.classes", "one class at least");
         }
--- a/src/lab/lab.cpp
+++ b/src/lab/lab.cpp
@@ -36,12 +36,6 @@
     return std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(s));
 }
 
-asio::awaitable<void> sleep_until(Clock::time_point at) {
-    asio::steady_timer timer(co_await asio::this_coro::executor, at);
-    error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 // The descriptors a fleet's worth of connections needs: as many as the hard limit allows.
 void raise_descriptor_limit() {
     rlimit limit{};
--- a/src/lab/standins.cpp
+++ b/src/lab/standins.cpp
@@ -41,14 +41,14 @@
     return std::nullopt;
 }
 
+}  // namespace
+
 asio::awaitable<void> sleep_until(Clock::time_point at) {
     asio::steady_timer timer(co_await asio::this_coro::executor, at);
     error_code ignored;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-}  // namespace
-
 std::optional<Clock::time_point> SlotQueue::take(Clock::duration work, Clock::duration longest_wait) {
     const Clock::time_point now = Clock::now();
     auto slot = std::min_element(free_at_.begin(), free_at_.end());
--- a/src/lab/standins.hpp
+++ b/src/lab/standins.hpp
@@ -24,6 +24,8 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 
+asio::awaitable<void> sleep_until(std::chrono::steady_clock::time_point at);
+
 // Slots that each become free at a time: a request takes the earliest and is done `work` after it frees.
 // A queue in virtual time, so that waiting costs no coroutine and no timer but the request's own.
 class SlotQueue {
