--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -177,7 +177,7 @@
 class Sidecar:
     """One sidecar, started with the deploy file's `run` from the repository's root."""
 
-    def __init__(self, record, discovery):
+    def __init__(self, record, discovery, sockets):
         self.record, self.port = record, free_port()
         self._folder = tempfile.TemporaryDirectory(prefix="review-")  # pylint: disable=consider-using-with
         self._config = {
@@ -185,7 +185,7 @@
             "listen": f"127.0.0.1:{self.port}",
             "discovery": f"127.0.0.1:{discovery.port}",
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": sockets},
             "known": discovery.listing(),
             "settings": settings(),
         }
@@ -258,14 +258,17 @@
 
 
 @contextlib.asynccontextmanager
-async def deployment(record, serve, servers):
-    """A small deployment: guide servers that answer by `serve`, discovery and one ready sidecar."""
+async def deployment(record, serve, servers, sockets=512):
+    """A small deployment: guide servers that answer by `serve`, discovery, and one ready sidecar.
+
+    The sidecar may hold `sockets` descriptors.
+    """
     running = [GuideServer(f"s-{i}", record, serve) for i in range(servers)]
     for server in running:
         await server.start()
     discovery = Discovery(running)
     await discovery.start()
-    sidecar = Sidecar(record, discovery)
+    sidecar = Sidecar(record, discovery, sockets)
     try:
         await sidecar.start()
         yield sidecar
--- a/review/standins/traffic.py
+++ b/review/standins/traffic.py
@@ -6,11 +6,13 @@
 
 from standins import wire
 
+PATIENCE_S = 3  # behind a request's time, so that an answer that comes too late is seen
+
 CLASSES = {  # of each class: its share of the requests, the client's time and the body
-    "track-fetch": (0.37, 900, b""),
-    "rental-charge": (0.32, 1100, b"c" * 212),
-    "loan-return": (0.17, 2800, b"r" * 212),
-    "pass-issue": (0.14, 1400, b"p" * 212),
+    "track-fetch": (0.37, 700, b""),
+    "rental-charge": (0.32, 900, b"c" * 212),
+    "loan-return": (0.17, 2200, b"r" * 212),
+    "pass-issue": (0.14, 1100, b"p" * 212),
 }
 
 
@@ -44,31 +46,38 @@
         _, time_left_ms, body = CLASSES[name]
         request_id = f"app-{next(self._numbers):05d}"
         data = wire.request(name, request_id, time_left_ms, body)
-        self.record.add("application", "sends", id=request_id, service_class=name)
-        if self._idle and await self._exchange(self._idle.pop(), request_id, data, time_left_ms):
+        self.record.add("application", "asks", id=request_id, service_class=name)
+        sent = {"id": request_id, "time_left_ms": time_left_ms}
+        # Where the sidecar closes a kept connection, the request is sent once more on a new one.
+        if self._idle and await self._exchange(self._idle.pop(), sent, data):
             return
         try:
             connection = await asyncio.open_connection("127.0.0.1", self.port)
         except OSError:
-            self.record.add("application", "refused", id=request_id)
+            self.record.add("application", "not connected", id=request_id)
             return
-        if not await self._exchange(connection, request_id, data, time_left_ms):
-            self.record.add("application", "unanswered", id=request_id)
+        await self._exchange(connection, sent, data)
 
-    async def _exchange(self, connection, request_id, data, time_left_ms):
-        """False where the connection ends without an answer."""
+    async def _exchange(self, connection, sent, data):
+        """False where the sidecar closes the connection without an answer."""
         reader, writer = connection
+        self.record.add("application", "sends", **sent)
+        reply = None
         try:
             writer.write(data)
-            reply = await asyncio.wait_for(wire.receive(reader), time_left_ms / 1000 + 0.6)
-        except (OSError, wire.Malformed, asyncio.TimeoutError):
-            reply = None
+            reply = await asyncio.wait_for(wire.receive(reader), sent["time_left_ms"] / 1000 + PATIENCE_S)
+        except asyncio.TimeoutError:
+            writer.close()
+            self.record.add("application", "gives up", id=sent["id"])
+            return True
+        except (OSError, wire.Malformed):
+            pass  # closed
         if reply is None:
             writer.close()
+            self.record.add("application", "was closed", id=sent["id"])
             return False
-        self.record.add(
-            "application", "answered", id=request_id, status=reply.status, body=reply.body.decode()
-        )
+        details = {"status": reply.status, "body": reply.body.decode()}
+        self.record.add("application", "answered", id=sent["id"], **details)
         if reply.headers.get("connection", "").lower() == "close":
             writer.close()
         else:
