--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 
@@ -21,6 +22,7 @@
 
 def run(play, folder):
     """Plays a case and exits. `play(record)` returns the breaks of the rule as details for the record."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))  # so that the sidecar is ended too
     record = Record()
     status = COULD_NOT_RUN
     try:
