Trace: reuse of upstream connections, and idle ones closed for unexpected data

Neither trace nor metrics said on which connection an attempt was written, how long that connection had been idle, or that an idle one had received bytes that no request asked for, so the possible causes could not be told apart. Change: trace events upstream_reused and upstream_idle_closed with the local port and the time idle; the close reason unexpected_data, which was counted as peer_closed. seconds_since() moves to the header that both kinds of tests include.

--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -235,7 +235,10 @@
     if (input_.capacity() > kReadSize) input_.shrink_to_fit();
     socket_.async_wait(tcp::socket::wait_read, [this, self = shared_from_this()](error_code) {
         // The connection cannot be reused if the endpoint has closed it or has sent unexpected bytes.
-        if (state_ == State::idle && !is_usable()) owner_.close_connection(self, CloseReason::peer_closed);
+        if (state_ != State::idle) return;
+        const SocketState socket_state = peek(socket_);
+        if (socket_state != SocketState::no_data)
+            owner_.close_connection(self, close_reason_for_idle(socket_state));
     });
 }
 
@@ -246,6 +249,12 @@
     });
 }
 
+std::uint16_t UpstreamConnection::local_port() const {
+    error_code ec;
+    const tcp::endpoint local = socket_.local_endpoint(ec);
+    return ec ? 0 : local.port();
+}
+
 void UpstreamConnection::close() {
     state_ = State::closed;
     timer_.cancel();
--- a/src/proxy/upstream_connection.hpp
+++ b/src/proxy/upstream_connection.hpp
@@ -44,6 +44,11 @@
     bool withdrawn = false;                   // each connection is closed after its exchange
 };
 
+/// Why an idle connection whose socket is not in the state `no_data` is closed.
+constexpr CloseReason close_reason_for_idle(SocketState state) {
+    return state == SocketState::readable ? CloseReason::unexpected_data : CloseReason::peer_closed;
+}
+
 class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection> {
 public:
     enum class State { connecting, writing, reading, idle, closed };
@@ -76,9 +81,11 @@
     Millis idle_since() const { return idle_since_; }
     /// The current exchange; null while idle or closed.
     const Exchange* exchange() const { return exchange_.get(); }
-    /// Whether an idle connection is open and has no unread bytes; also true if a lack of memory prevents the
-    /// check.
-    bool is_usable() { return peek(socket_) == SocketState::no_data; }
+    /// What the kernel has for the reader of the connection. An idle connection is usable while it has no
+    /// data, which also results if a lack of memory prevents the check.
+    SocketState socket_state() { return peek(socket_); }
+    /// The local port, which identifies the connection in the trace; 0 if it is not open.
+    std::uint16_t local_port() const;
 
     void set_exchange(std::unique_ptr<Exchange> exchange);
     std::unique_ptr<Exchange> release_exchange();
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <vector>
 
+#include "common/trace.hpp"
+
 namespace ochregrade::sidecar {
 
 namespace {
@@ -72,6 +74,7 @@
     const bool reused = connection != nullptr;
     if (!reused) connection = add_connection(endpoint, address);
     if (!exchange->is_probe) attempts_[exchange->key] = connection;
+    if (reused && tracing()) trace_reuse(*connection, *exchange);
     connection->set_exchange(std::move(exchange));
     if (reused) return connection->write_request();
     // At the connection limit, no further descriptor may be used, so the request is not sent. The outcome
@@ -80,6 +83,19 @@
     connection->connect();
 }
 
+void UpstreamPool::trace_reuse(const Connection& connection, const Exchange& exchange) const {
+    trace_event("upstream_reused", {{"request", std::string((*exchange.request)["X-Correlation-Id"])},
+                                    {"port", connection.local_port()},
+                                    {"idle_ms", clock_.now() - connection.idle_since()}});
+}
+
+void UpstreamPool::trace_close(const Connection& connection, CloseReason reason) const {
+    if (connection.state() != Connection::State::idle) return;
+    trace_event("upstream_idle_closed", {{"port", connection.local_port()},
+                                         {"idle_ms", clock_.now() - connection.idle_since()},
+                                         {"reason", to_string(reason)}});
+}
+
 bool UpstreamPool::may_write(const ConnectionPtr& connection, bool partly_written) {
     if (!handlers_.may_write) return true;
     const bool allowed = handlers_.may_write(connection->exchange()->key, partly_written);
@@ -161,9 +177,8 @@
     const Millis quiet_since = now - limits_.quiet_period;
     for (std::size_t i = group->idle.size(); i-- > 0;) {
         ConnectionPtr connection = group->idle[i];
-        const bool expired = now >= idle_deadline(*connection);
-        if (connection->address() != address || expired || !connection->is_usable()) {
-            close_connection(connection, expired ? CloseReason::idle : CloseReason::peer_closed);
+        if (const auto reason = reason_to_close(*connection, address, now)) {
+            close_connection(connection, *reason);
             continue;
         }
         if (connection->idle_since() > quiet_since) continue;
@@ -174,6 +189,16 @@
     return nullptr;
 }
 
+// Why an idle connection must not be used for a request to `address`; nothing if it may be used.
+std::optional<CloseReason> UpstreamPool::reason_to_close(Connection& connection, const tcp::endpoint& address,
+                                                         Millis now) const {
+    if (now >= idle_deadline(connection)) return CloseReason::idle;
+    if (connection.address() != address) return CloseReason::peer_closed;
+    const SocketState state = connection.socket_state();
+    if (state == SocketState::no_data) return {};
+    return close_reason_for_idle(state);
+}
+
 void UpstreamPool::return_to_pool(const ConnectionPtr& connection) {
     connection->become_idle();
     connection->group().idle.push_back(connection);
@@ -189,6 +214,7 @@
 
 void UpstreamPool::close_connection(const ConnectionPtr& connection, CloseReason reason) {
     if (connection->state() == Connection::State::closed) return;
+    if (tracing()) trace_close(*connection, reason);
     ++closes_[static_cast<std::size_t>(reason)];
     ConnectionGroup& group = connection->group();
     if (connection->state() == Connection::State::idle) std::erase(group.idle, connection);
--- a/src/proxy/upstream_pool.hpp
+++ b/src/proxy/upstream_pool.hpp
@@ -82,11 +82,15 @@
     void start(std::unique_ptr<Exchange> exchange, EndpointId endpoint, const tcp::endpoint& address);
     ConnectionPtr take_idle(EndpointId endpoint, const tcp::endpoint& address);
     ConnectionPtr add_connection(EndpointId endpoint, const tcp::endpoint& address);
+    std::optional<CloseReason> reason_to_close(Connection& connection, const tcp::endpoint& address,
+                                               Millis now) const;
     void return_to_pool(const ConnectionPtr& connection);
     void evict_idle();
     Millis idle_deadline(const Connection& connection) const;
     void end_without_response(const ConnectionPtr& connection, Outcome outcome);
     void stop(AttemptKey key, Outcome if_not_written, Outcome if_written);
+    void trace_reuse(const Connection& connection, const Exchange& exchange) const;
+    void trace_close(const Connection& connection, CloseReason reason) const;
 
     asio::io_context& io_;
     const Clock& clock_;
--- a/tests/proxy/trace_test.cpp
+++ b/tests/proxy/trace_test.cpp
@@ -1,4 +1,6 @@
 // The trace of one request, and the metrics that count by reason.
+#include <future>
+
 #include "support/process_fixture.hpp"
 
 namespace ochregrade::sidecar {
@@ -49,5 +51,44 @@
         EXPECT_NE(metrics.find(line), std::string::npos) << line << metrics;
 }
 
+TEST(Trace, RecordsReusedConnectionsAndUnexpectedData) {
+    Fixture f;
+    const std::string trace = f.place.path + "/trace";
+    std::promise<void> release;
+    FakeServer server([&](Wire& w, const HttpRequest&, int number) {
+        w.respond(200, "fine");
+        if (number == 0) return true;
+        release.get_future().wait();
+        w.respond(200, "no request asked for this");
+        return true;
+    });
+    SteadyDiscovery discovery(std::vector<json>{host("s1", server.at())});
+    f.config["discovery"] = discovery.at();
+    f.place.write(f.config.dump());
+    const auto process = f.start({"OCHREGRADE_TRACE=" + trace});
+    App app(f.listen);
+    for (int i = 0; i < 2; ++i) {
+        EXPECT_EQ(app.ask(App::request("listen")).result_int(), 200u);
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));  // over the quiet period of 25 ms
+    }
+    release.set_value();
+    const std::string closed = R"(ochregrade_closes_total{side="servers",reason="unexpected_data"} 1)";
+    EXPECT_TRUE(until(
+        [&] { return Operator(f.admin).call("GET", "/metrics").body().find(closed) != std::string::npos; }));
+    std::vector<json> events;
+    std::ifstream file(trace);
+    for (std::string line; std::getline(file, line);) {
+        json event = json::parse(line);
+        if (event.contains("port")) events.push_back(std::move(event));
+    }
+    ASSERT_EQ(events.size(), 2u);
+    EXPECT_EQ(events[0].at("event"), "upstream_reused");
+    EXPECT_GT(events[0].at("idle_ms"), 25);
+    EXPECT_FALSE(events[0].at("request").get<std::string>().empty());
+    EXPECT_EQ(events[1].at("event"), "upstream_idle_closed");
+    EXPECT_EQ(events[1].at("reason"), "unexpected_data");
+    EXPECT_EQ(events[1].at("port"), events[0].at("port"));
+}
+
 }  // namespace
 }  // namespace ochregrade::sidecar
--- a/tests/support/stepped_sidecar.hpp
+++ b/tests/support/stepped_sidecar.hpp
@@ -13,10 +13,6 @@
 inline const std::string kNoAddress = "127.0.0.1:1";  // nothing listens there
 inline const std::string kHealthRequest = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
 
-inline double seconds_since(std::chrono::steady_clock::time_point start) {
-    return std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
-}
-
 /// Whether something has come on the connection, or its peer has ended it.
 inline bool is_readable(Wire& wire) {
     char byte;
--- a/tests/support/test_connection.hpp
+++ b/tests/support/test_connection.hpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <list>
 #include <mutex>
@@ -22,6 +23,10 @@
 /// The bound of every wait for an event; only a failure reaches it.
 constexpr std::chrono::seconds kPatience{30};
 
+inline double seconds_since(std::chrono::steady_clock::time_point start) {
+    return std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
+}
+
 template <class T>
 std::string text_of(const T& endpoint) {
     std::ostringstream text;
