Upstream: acknowledge a response before its connection becomes idle

Cause: a connection counted as free of further bytes once it had been quiet for 25 ms. But this side's kernel delays the acknowledgement of a response by 40 ms (up to 200), and until it comes the endpoint's kernel holds back a second response written right behind the first (Nagle). A request written 25 to 40 ms after the response carried the acknowledgement and released the second response, which came first and was taken for the answer; the real answer stayed for the request after it. Where the second response was a 503 with X-Unprocessed, it passed for proof that the new request never ran. An endpoint that writes late is excluded: it had written the second response 33 ms before (median). Change: the acknowledgement is sent when the response is complete (TCP_QUICKACK), so held back bytes arrive within a round trip and are noticed in the quiet period, which counts from then. If the call fails, it counts from 200 ms later. Probes use the same pool and are covered. No connection is given up. Acknowledgement.FailurePostponesReuseOfConnection injects the failing call. All of the proxy and program tests pass.

--- a/bench/guarantee_rows.py
+++ b/bench/guarantee_rows.py
@@ -73,12 +73,10 @@
     ),
 ]
 LOOKED_AT_WHEN_IDLE = [
-    Edit(POOL, " || !connection->is_usable()) {", ") {"),
     Edit(
-        CONNECTION,
-        "if (state_ == State::idle && !is_usable()) owner_.close_connection(",
-        "if (false) owner_.close_connection(",
+        POOL, "if (state == SocketState::no_data) return {};", "if (state <= SocketState::closed) return {};"
     ),
+    Edit(CONNECTION, "if (state_ != State::idle) return;", "if (state_ <= State::closed) return;"),
 ]
 
 GUARANTEES = [
@@ -523,10 +521,40 @@
     ),
     Guarantee(
         "a connection is reused only after a settling time",
-        [Edit(POOL, "if (connection->idle_since() > quiet_since) continue;", "")],
+        [Edit(POOL, "if (connection->acknowledged_at() > quiet_since) continue;", "")],
         PROXY_TESTS,
         "UpstreamPool.ConnectionIsReusedOnlyAfterQuietPeriod",
     ),
+    Guarantee(
+        "a response is acknowledged before its connection becomes idle",
+        [
+            Edit(
+                CONNECTION,
+                "const bool acknowledged = acknowledge_now(socket_);",
+                "const bool acknowledged = true;",
+            )
+        ],
+        PROXY_TESTS,
+        "UpstreamPool.SecondResponseHeldBackForAcknowledgementIsNotForwarded",
+    ),
+    Guarantee(
+        "a rejection is acknowledged before its connection becomes idle",
+        [
+            Edit(
+                CONNECTION,
+                "const bool acknowledged = acknowledge_now(socket_);",
+                "const bool acknowledged = true;",
+            )
+        ],
+        PROXY_TESTS,
+        "UpstreamPool.SecondRejectionHeldBackForAcknowledgementDoesNotCountAsNotRun",
+    ),
+    Guarantee(
+        "a connection whose response could not be acknowledged at once is not reused for as long as that may take",
+        [Edit(CONNECTION, "(acknowledged ? 0 : kMaxAcknowledgementDelay);", "(acknowledged ? 0 : 0);")],
+        PROGRAM_TESTS,
+        "Acknowledgement.FailurePostponesReuseOfConnection",
+    ),
     Guarantee(
         "bytes after a response close its connection",
         [Edit(CONNECTION, "parser_->keep_alive() && input_.size() == 0;", "parser_->keep_alive();")],
--- a/src/common/socket_io.hpp
+++ b/src/common/socket_io.hpp
@@ -5,6 +5,7 @@
 // these functions.
 #pragma once
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -59,6 +60,15 @@
     }
 }
 
+/// Sends the acknowledgement of the bytes that have been read, which Linux otherwise delays for up to 200 ms
+/// (TCP_QUICKACK in tcp(7)). The peer's kernel may hold back a small write until the acknowledgement of the
+/// bytes before it arrives (Nagle's algorithm, RFC 1122, 4.2.3.4). Returns false if the call fails; the
+/// acknowledgement may then be delayed.
+inline bool acknowledge_now(tcp::socket& socket) {
+    const int enabled = 1;
+    return ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_QUICKACK, &enabled, sizeof enabled) == 0;
+}
+
 /// Writes all of `bytes` and then calls done(error) from the event loop. The socket and the memory of `bytes`
 /// must stay valid until then. Each wait queries the kernel's state again, so that no edge-triggered event is
 /// missed.
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -15,6 +15,9 @@
 // memory, and an endless response fills the buffer at once.
 constexpr int kUpstreamReceiveBuffer = 64 * 1024;
 
+// How long Linux may delay an acknowledgement, milliseconds (TCP_DELACK_MAX).
+constexpr Millis kMaxAcknowledgementDelay = 200;
+
 // The time left that is sent to an endpoint is reduced by kDeadlineMargin (milliseconds), but at most by
 // kDeadlineMarginShare of the time left.
 constexpr Millis kDeadlineMargin = 25;
@@ -227,9 +230,14 @@
 
 // ---- Idle time
 
+// While the acknowledgement of the response is delayed, the endpoint's kernel may hold back bytes that the
+// endpoint wrote behind the response. The next request would carry the acknowledgement, and the bytes that it
+// releases would be taken for the response to that request.
 void UpstreamConnection::become_idle() {
     state_ = State::idle;
+    const bool acknowledged = acknowledge_now(socket_);
     idle_since_ = clock_.now();
+    acknowledged_at_ = idle_since_ + (acknowledged ? 0 : kMaxAcknowledgementDelay);
     if (output_.capacity() > kReadSize) output_ = std::string();
     interim_responses_ = 0;
     if (input_.capacity() > kReadSize) input_.shrink_to_fit();
--- a/src/proxy/upstream_connection.hpp
+++ b/src/proxy/upstream_connection.hpp
@@ -79,6 +79,9 @@
     bool is_in(const std::shared_ptr<ConnectionGroup>& group) const { return group_ == group; }
     State state() const { return state_; }
     Millis idle_since() const { return idle_since_; }
+    /// From when (Clock milliseconds) the endpoint's kernel has no reason to hold back bytes that the
+    /// endpoint has written behind its last response.
+    Millis acknowledged_at() const { return acknowledged_at_; }
     /// The current exchange; null while idle or closed.
     const Exchange* exchange() const { return exchange_.get(); }
     /// What the kernel has for the reader of the connection. An idle connection is usable while it has no
@@ -133,6 +136,7 @@
     int interim_responses_ = 0;  // 1xx
     std::optional<http::response_parser<http::string_body>> parser_;
     Millis idle_since_ = 0;
+    Millis acknowledged_at_ = 0;
 };
 
 }  // namespace ochregrade::sidecar
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -167,8 +167,8 @@
 // Takes the most recently used connection, so that older ones reach their idle limit and are closed. A
 // connection that the endpoint has closed or that has received unexpected bytes is closed without trying to
 // write to it: after a failed write, the request would have to be sent twice. A connection whose last
-// response arrived less than the quiet period ago is skipped, because further bytes behind that response
-// would be taken for the next response.
+// response was acknowledged less than the quiet period ago is skipped, because further bytes behind that
+// response would be taken for the next response.
 UpstreamPool::ConnectionPtr UpstreamPool::take_idle(EndpointId endpoint, const tcp::endpoint& address) {
     const auto at = groups_.find(endpoint);
     if (at == groups_.end()) return nullptr;
@@ -181,7 +181,7 @@
             close_connection(connection, *reason);
             continue;
         }
-        if (connection->idle_since() > quiet_since) continue;
+        if (connection->acknowledged_at() > quiet_since) continue;
         group->idle.erase(group->idle.begin() + static_cast<std::ptrdiff_t>(i));
         connection->stop_idle_timer();
         return connection;
--- a/src/proxy/upstream_pool.hpp
+++ b/src/proxy/upstream_pool.hpp
@@ -23,7 +23,8 @@
         Millis connect_timeout = 1000;
         Millis idle_timeout = 15000;  // endpoints close connections that have been idle this long
         std::size_t connections = 400;
-        Millis quiet_period = 2;  // a connection is not reused within this time after its last response
+        // A connection is not reused within this time after its last response was acknowledged.
+        Millis quiet_period = 2;
     };
     /// Handlers may be called from within send(), cancel() and other functions of the pool. They record what
     /// happened, may withdraw attempts, and must not start attempts or probes.
--- a/tests/proxy/system_call_faults_test.cpp
+++ b/tests/proxy/system_call_faults_test.cpp
@@ -107,6 +107,31 @@
     }
 }
 
+// ---- The acknowledgement of a response fails
+
+// How many connections two requests need, the second one after the quiet period (25 ms) but while an
+// acknowledgement may still be delayed (200 ms).
+int connections_for_two_requests(bool acknowledgement_fails) {
+    for (;;) {
+        FixtureWithFaults f;
+        f.faults.set(kAcknowledgeFails, acknowledgement_fails ? 1 : 0);
+        const auto process = f.start();
+        App app(f.listen);
+        EXPECT_EQ(app.ask(App::request("listen")).result_int(), 200u);
+        const auto start = std::chrono::steady_clock::now();
+        std::this_thread::sleep_for(std::chrono::milliseconds(60));
+        EXPECT_EQ(app.ask(App::request("listen")).result_int(), 200u);
+        if (seconds_since(start) < 0.2) return f.server.connections();  // otherwise the machine was too slow
+    }
+}
+
+// Guards against responses that are taken for those of other requests: a second response may arrive while the
+// acknowledgement of the first one is delayed, so the connection is not reused for that long.
+TEST(Acknowledgement, FailurePostponesReuseOfConnection) {
+    EXPECT_EQ(connections_for_two_requests(false), 1);
+    EXPECT_EQ(connections_for_two_requests(true), 2);
+}
+
 // ---- Local errors of connect
 
 // A short lack of ports, routes or buffers on this machine must not count against an endpoint or use up an
--- a/tests/proxy/upstream_pool_test.cpp
+++ b/tests/proxy/upstream_pool_test.cpp
@@ -50,6 +50,48 @@
     EXPECT_EQ(server.connections(), 2);
 }
 
+// The outcome and body of a request on a connection whose last response was `status` and was sent twice, one
+// copy right behind the other. The server's kernel has its default, with which it holds back the second copy
+// until the first one is acknowledged. Linux delays acknowledgements only after a connection's first
+// exchanges.
+struct NextResponse {
+    explicit NextResponse(int status) {
+        constexpr int kExchanges = 40;
+        std::promise<void> sent_twice;
+        FakeServer server([&](Wire& wire, const HttpRequest&, int number) {
+            const std::string body = std::to_string(number);
+            if (number != kExchanges) return wire.respond(200, body), true;
+            for (int copy = 0; copy < 2; ++copy) wire.respond(status, body, "X-Unprocessed: 1\r\n");
+            sent_twice.set_value();
+            return true;
+        });
+        SteppedUpstreamPool pool({1000, 15000, 50, 0});  // connections are reused at once
+        for (int i = 0; i <= kExchanges; ++i) pool.send(1, server.at()), pool.run();
+        EXPECT_EQ(server.connections(), 1);
+        sent_twice.get_future().get();
+        pool.send(1, server.at()), pool.run();
+        outcome = pool.outcomes.back();
+        is_own = pool.bodies.back() == std::to_string(kExchanges + 1);
+    }
+    Outcome outcome;
+    bool is_own;  // the response that the server sent for this request
+};
+
+// Guards against clients that get the response to another request.
+TEST(UpstreamPool, SecondResponseHeldBackForAcknowledgementIsNotForwarded) {
+    const NextResponse next(200);
+    EXPECT_EQ(next.outcome, Outcome::success);
+    EXPECT_TRUE(next.is_own);
+}
+
+// Guards against requests that run twice: a 503 that was sent for another request proves nothing about this
+// one, which would then be retried although it runs.
+TEST(UpstreamPool, SecondRejectionHeldBackForAcknowledgementDoesNotCountAsNotRun) {
+    const NextResponse next(503);
+    EXPECT_EQ(next.outcome, Outcome::success);
+    EXPECT_TRUE(next.is_own);
+}
+
 // A connection is reused only after the quiet period: the endpoint may still send more bytes behind its
 // response.
 TEST(UpstreamPool, ConnectionIsReusedOnlyAfterQuietPeriod) {
--- a/tests/soak/fault_shim.cpp
+++ b/tests/soak/fault_shim.cpp
@@ -6,6 +6,7 @@
 #include <dlfcn.h>
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
@@ -182,6 +183,13 @@
     return next(fd, address, length);
 }
 
+int setsockopt(int fd, int level, int name, const void* value, socklen_t length) {
+    REAL(setsockopt);
+    const bool is_quick_ack = level == IPPROTO_TCP && name == TCP_QUICKACK;
+    if (is_quick_ack && inject(kAcknowledgeFails)) return fail(ENOPROTOOPT);
+    return next(fd, level, name, value, length);
+}
+
 ssize_t write(int fd, const void* bytes, size_t size) {
     REAL(write);
     if (fd <= 2 || !is_type(fd, S_IFREG)) return next(fd, bytes, size);
--- a/tests/soak/fault_slots.hpp
+++ b/tests/soak/fault_slots.hpp
@@ -19,6 +19,7 @@
 constexpr Slot kStallBeforeSend = 9;    // sleeps before a send
 constexpr Slot kBrokenConnection = 10;  // ETIMEDOUT or EHOSTUNREACH on a connection that the process opened
 constexpr Slot kWaitInterrupted = 11;   // EINTR from epoll_wait
+constexpr Slot kAcknowledgeFails = 12;  // ENOPROTOOPT from setsockopt for TCP_QUICKACK
 constexpr Slot kWallOffsetMs = 16;      // added to the wall clock, in milliseconds
 constexpr Slot kStallMs = 17;           // the longest stall before a send, in milliseconds
 constexpr Slot kInjected = 32;
