--- a/review/standins-2/stand.py
+++ b/review/standins-2/stand.py
@@ -11,6 +11,7 @@
 import shutil
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -155,6 +156,15 @@
         for writer in self._writers:
             writer.close()
 
+    def end(self):
+        """Ends the process: its connections are reset and new ones refused."""
+        self._record.line("ends", server=self.name)
+        self._server.close()
+        for writer in self._writers:
+            linger = struct.pack("ii", 1, 0)  # on, 0 s: the close is a reset
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+
     def entry(self, health="SERVING"):
         """The server's entry in discovery's list."""
         return {
