Parsed heads and input buffers are bounded by what they occupy in memory

Cause: the limit on heads counts bytes on the wire, but each parsed field costs some 80 bytes beyond its text, so 16 KiB of "a:" lines grew twenty-fold; nothing of a head counted towards a common limit before it was complete.

Change: BoundedParser ends a message with 431 beyond 24 KiB of parsed fields, also trailers, endpoints' responses, discovery and operators. MemoryBudget counts requests from their first parsed line to the last reference to them, and input buffers by their capacity; 4 KiB of each are free. A correlation id holds 1 KiB at most.

--- a/bench/guarantee_rows.py
+++ b/bench/guarantee_rows.py
@@ -236,8 +236,8 @@
         [
             Edit(
                 SESSION_INPUT,
-                "    if (total > kMaxPipelinedBytes) return false;\n    if (total > kFreePipelinedBytes &&",
-                "    if (false &&",
+                "    if (total > kMaxPipelinedBytes) return false;\n",
+                "",
             )
         ],
         PROXY_TESTS,
@@ -245,10 +245,34 @@
     ),
     Guarantee(
         "pipelined bytes count towards the memory limit",
-        [Edit(SESSION_INPUT, "context_.body_bytes += reserved_pipelined_bytes_;", "")],
+        [Edit(SESSION_INPUT, "if (!input_memory_.resize(capacity)) return false;", "")],
         PROXY_TESTS,
         "PipelinedRequests.ShareMemoryForBodiesAndReleaseIt",
     ),
+    Guarantee(
+        "parsed fields of a message are bounded in memory",
+        [Edit("src/common/http.hpp", "if (field_memory_ > kMaxFieldMemory)", "if (false)")],
+        PROXY_TESTS,
+        "RequestMemory.HeadOfShortFieldsIsRejectedBeforeItFillsMemory",
+    ),
+    Guarantee(
+        "unfinished heads count towards the memory limit",
+        [Edit(SESSION, "if (!head_checked_ && !reserve_request(0))", "if (false)")],
+        PROXY_TESTS,
+        "RequestMemory.UnfinishedHeadsShareTheMemoryAndSmallRequestsAreServedBeside",
+    ),
+    Guarantee(
+        "a request in flight stays reserved after its client has left",
+        [
+            Edit(
+                SESSION,
+                "ReservedRequest{parser_->release(), std::move(request_memory_)}",
+                "ReservedRequest{parser_->release(), MemoryReservation(context_.request_memory, 0)}",
+            )
+        ],
+        PROXY_TESTS,
+        "RequestMemory.RequestInFlightStaysReservedAfterItsClientHasLeft",
+    ),
     Guarantee(
         "idle connections are checked for bytes before they are closed",
         [Edit(SESSION, "if (state_ == State::idle && has_unread_bytes()) return;", "")],
@@ -506,8 +530,8 @@
             ),
             Edit(
                 SESSION,
-                "    account_pipelined(0);  // accept_head()",
-                "    snapshot_ = context_.driver.snapshot();\n    // accept_head()",
+                "    head_checked_ = false;\n    head_bytes_ = 0;\n",
+                "    snapshot_ = context_.driver.snapshot();\n    head_checked_ = false;\n    head_bytes_ = 0;\n",
             ),
         ],
         PROXY_TESTS,
--- a/src/common/http.hpp
+++ b/src/common/http.hpp
@@ -25,6 +25,36 @@
 // Limits of a message in bytes. The protocol sets the same limits for requests and responses.
 constexpr std::uint32_t kMaxHeader = 16 * 1024;
 constexpr std::uint64_t kMaxBody = 64 * 1024;
+// What the parsed header and trailer fields of a message may occupy in memory, bytes. A head of kMaxHeader
+// bytes with 100 fields fits.
+constexpr std::size_t kMaxFieldMemory = 24 * 1024;
+
+/// A parser that bounds the memory of the parsed header and trailer fields. The limit on the bytes of a head
+/// alone does not bound it, because each field has a fixed cost: 16 KiB of fields without a value occupy
+/// 20 times as much once they are parsed. Fails with header_limit beyond kMaxFieldMemory.
+template <bool is_request, class Body>
+class BoundedParser : public http::parser<is_request, Body> {
+public:
+    /// What the fields parsed so far occupy, bytes.
+    std::size_t field_memory() const { return field_memory_; }
+
+private:
+    void on_field_impl(http::field name, beast::string_view name_text, beast::string_view value,
+                       error_code& ec) override {
+        field_memory_ += kFieldOverhead + name_text.size() + value.size();
+        if (field_memory_ > kMaxFieldMemory)
+            ec = http::error::header_limit;
+        else
+            this->get().insert(name, name_text, value);
+    }
+
+    // The list node, the separators that are stored with the text, and the allocator's rounding.
+    static constexpr std::size_t kFieldOverhead = sizeof(http::fields::value_type) + 20;
+    std::size_t field_memory_ = 0;
+};
+
+using RequestParser = BoundedParser<true, http::string_body>;
+using ResponseParser = BoundedParser<false, http::string_body>;
 
 /// Removes the hop-by-hop fields (RFC 9110, 7.6.1), which are the standard ones and those that Connection
 /// names, and also Expect and Content-Length.
--- a/src/control/operator_session.hpp
+++ b/src/control/operator_session.hpp
@@ -35,7 +35,7 @@
     Node& node_;
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_{kMaxHeader + kMaxBodyBytes};
-    std::optional<http::request_parser<http::string_body>> parser_;
+    std::optional<RequestParser> parser_;
     std::string response_;
     asio::steady_timer write_timeout_;
     bool first_request_ = true;
--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -37,7 +37,7 @@
     explicit Call(std::unique_ptr<beast::tcp_stream> connection) : stream(std::move(connection)) {}
     std::unique_ptr<beast::tcp_stream> stream;
     std::string request;
-    http::response_parser<http::string_body> parser;
+    ResponseParser parser;
     beast::flat_buffer buffer;
     std::chrono::milliseconds timeout{};  // of request and response, from the established connection on
     bool complete = false;                // the call requests the complete list
--- a/src/process/resource_limits.cpp
+++ b/src/process/resource_limits.cpp
@@ -15,10 +15,11 @@
 // Share of the connections that clients get. It is over half, because clients also keep idle and silent
 // connections open.
 constexpr double kClientShare = 0.62;
-// Received bodies and pipelined bytes of clients may use 1/kBodyMemoryDivisor of the memory, at least
-// kMaxBody bytes. Up to three copies of a body exist at a time: the received body, the copy for a retry and
-// the copy that is being sent.
-constexpr std::size_t kBodyMemoryDivisor = 12;
+// Clients' requests and pipelined bytes may use 1/kRequestMemoryDivisor of the memory, at least
+// kMinRequestMemory bytes: one request of the largest size. Up to three copies of a request exist at a time:
+// the received one, the copy for a retry and the copy that is being sent.
+constexpr std::size_t kRequestMemoryDivisor = 12;
+constexpr std::size_t kMinRequestMemory = kMaxBody + kMaxHeader + kMaxFieldMemory;
 constexpr int kBytesPerMegabyteShift = 20;
 // Idle time in ms before an upstream connection is reused. Bytes that an upstream sends after the end of its
 // response, such as a second response, arrive within milliseconds and would be read as the response to the
@@ -46,9 +47,9 @@
 }
 
 Listener::Limits listener_limits(const Config& config) {
-    const std::size_t body_bytes = (config.memory_mb << kBytesPerMegabyteShift) / kBodyMemoryDivisor;
+    const std::size_t request_memory = (config.memory_mb << kBytesPerMegabyteShift) / kRequestMemoryDivisor;
     // The limit is one lower, because the listener accepts one connection beyond its limit.
-    return {max_client_connections(config) - 1, std::max<std::size_t>(kMaxBody, body_bytes)};
+    return {max_client_connections(config) - 1, std::max(kMinRequestMemory, request_memory)};
 }
 
 void check_descriptors(const Config& candidate, const Config& running) {
--- a/src/process/resource_limits.hpp
+++ b/src/process/resource_limits.hpp
@@ -1,5 +1,5 @@
 // Divides the connections that the descriptor limit allows between clients and upstreams, and sets the memory
-// for client bodies (docs/LIMITS.md).
+// for clients' requests (docs/LIMITS.md).
 #pragma once
 
 #include "control/config.hpp"
--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -33,6 +33,17 @@
 constexpr Millis kIdleGrace = 2000;
 // Milliseconds subtracted from the client's time left, so that the response arrives by the client's deadline.
 constexpr Millis kResponseMargin = 5;
+// Bytes of a request, and of an input buffer, that do not count towards the memory for requests: nearly all
+// requests are smaller, and bad clients cannot use up this part.
+constexpr std::size_t kFreeRequestBytes = 4096;
+constexpr std::size_t kFreeInputBytes = kClientReadSize;
+
+/// A request together with the memory reserved for it, which is released with the last reference to it: an
+/// attempt may still be in flight when the client has disconnected.
+struct ReservedRequest {
+    HttpRequest message;
+    MemoryReservation memory;
+};
 
 http::status status_for(error_code ec) {
     if (ec == http::error::body_limit) return http::status::payload_too_large;
@@ -52,7 +63,12 @@
 // ---- Lifetime
 
 ClientSession::ClientSession(ListenerContext& context, tcp::socket socket, Millis waited)
-    : context_(context), socket_(std::move(socket)), waited_(waited), state_since_(context.clock.now()) {}
+    : context_(context),
+      socket_(std::move(socket)),
+      request_memory_(context.request_memory, kFreeRequestBytes),
+      input_memory_(context.request_memory, kFreeInputBytes),
+      waited_(waited),
+      state_since_(context.clock.now()) {}
 
 void ClientSession::start(ListenerContext& context, const std::shared_ptr<ClientSession>& session) {
     session->position_ = context.sessions.insert(context.sessions.end(), session);
@@ -90,7 +106,7 @@
     error_code ignored;
     socket_.close(ignored);
     release_request();
-    account_pipelined(0);
+    drop_pipelined();
     if (before == State::waiting) context_.driver.client_disconnected(request_id_);
     context_.remove(position_);
 }
@@ -123,7 +139,7 @@
     if (context_.draining && is_quiet()) return close(CloseReason::draining);
     context_.sessions.splice(context_.sessions.end(), context_.sessions, position_);
     if (input_.size() > 0) return start_reading_request();
-    if (input_.capacity() > kClientReadSize) input_.shrink_to_fit();
+    if (input_.capacity() > kClientReadSize) shrink_input();
     receive();
     context_.accept_next();  // this session may now be evicted
 }
@@ -139,7 +155,6 @@
     request_started_at_ =
         pipelined_since_.value_or(now - std::max(std::exchange(waited_, 0), context_.loop_waited()));
     pipelined_since_.reset();
-    account_pipelined(0);  // accept_head() reserves the memory for the request's body
     if (deadline_ == 0) deadline_ = std::max(request_started_at_ + kReadTimeout, now + kMinReadTimeout);
     parser_.emplace();
     parser_->header_limit(kMaxHeader);
@@ -153,6 +168,7 @@
 void ClientSession::parse() {
     while (!parser_->is_done()) {
         const error_code ec = parse_buffered(*parser_, input_, head_bytes_);
+        if (!head_checked_ && !reserve_request(0)) return reject(http::status::service_unavailable);
         if (ec == http::error::need_more) return receive();
         if (ec) return reject(status_for(ec));
         if (parser_->is_header_done() && !head_checked_) {
@@ -168,6 +184,11 @@
     return head.target() == "/healthz" && head.method() == http::verb::get;
 }
 
+// Reserves memory for the request as far as it has been parsed, with a body of `body_size` bytes.
+bool ClientSession::reserve_request(std::size_t body_size) {
+    return request_memory_.resize(parser_->field_memory() + parser_->get().target().size() + body_size);
+}
+
 // Validates the head and reserves memory for the body before the body is read. Returns false if the request
 // has been rejected.
 bool ClientSession::accept_head() {
@@ -185,21 +206,21 @@
         write(HttpResponse(*error, 11), keep_alive_);
         return false;
     }
-    if (context_.body_bytes + length > context_.limits.body_bytes) {
-        reject(http::status::service_unavailable);
-        return false;
-    }
-    reserved_body_bytes_ = length;
-    context_.body_bytes += length;
-    return true;
+    if (reserve_request(length)) return true;
+    reject(http::status::service_unavailable);
+    return false;
 }
 
 void ClientSession::handle_request() {
     const bool chunked = parser_->chunked();
     const bool health_check = is_health_check();
-    auto request = std::make_shared<HttpRequest>(parser_->release());
+    // A chunked request may be smaller than was reserved for it, and its trailers are in memory too.
+    if (chunked && !reserve_request(parser_->get().body().size()))
+        return reject(http::status::service_unavailable);
+    const auto reserved =
+        std::make_shared<ReservedRequest>(ReservedRequest{parser_->release(), std::move(request_memory_)});
+    auto request = std::shared_ptr<HttpRequest>(reserved, &reserved->message);
     parser_.reset();
-    account_pipelined(input_.size());
     if (input_.size() > 0) pipelined_since_ = request_started_at_;  // earliest arrival of the next request
     keep_alive_ = request->keep_alive();
     first_request_ = false;
@@ -253,7 +274,7 @@
 
 // Releases the memory and the correlation id that the session holds for its request.
 void ClientSession::release_request() {
-    context_.body_bytes -= std::exchange(reserved_body_bytes_, 0);
+    request_memory_.release();
     if (!open_request_id_.empty()) context_.open_request_ids.erase(open_request_id_);
     open_request_id_.clear();
 }
--- a/src/proxy/client_session.hpp
+++ b/src/proxy/client_session.hpp
@@ -64,14 +64,15 @@
     void discard_pipelined(std::size_t size);
     void on_pipelined_bytes();
 
-    bool reserve_pipelined(std::size_t additional);
-    void account_pipelined(std::size_t bytes);
+    bool reserve_input(std::size_t additional);
+    void shrink_input();
     void drop_pipelined();
     Millis deadline_for_pipelined() const;
 
     void start_reading_request();
     void parse();
     bool accept_head();
+    bool reserve_request(std::size_t body_size);
     bool is_health_check() const;
     void handle_request();
     void respond_to_health_check();
@@ -96,14 +97,14 @@
     bool keep_alive_ = true;
 
     beast::flat_buffer input_;
-    std::optional<http::request_parser<http::string_body>> parser_;
+    std::optional<RequestParser> parser_;
     std::string output_;          // the response being written
     ConfigSnapshotPtr snapshot_;  // the configuration of the request being read
     RequestId request_id_ = 0;
     std::string open_request_id_;  // its X-Correlation-Id while it is in open_request_ids
     std::size_t head_bytes_ = 0;
-    std::size_t reserved_body_bytes_ = 0;
-    std::size_t reserved_pipelined_bytes_ = 0;
+    MemoryReservation request_memory_;           // of the request being read
+    MemoryReservation input_memory_;             // of input_
     std::size_t discarded_bytes_ = 0;            // while lingering
     std::size_t discarded_pipelined_bytes_ = 0;  // since the last resume_reading()
 
--- a/src/proxy/client_session_input.cpp
+++ b/src/proxy/client_session_input.cpp
@@ -18,12 +18,11 @@
 // Bytes that a lingering session reads and discards before it closes the connection.
 constexpr std::size_t kMaxLingerBytes = 256 * 1024;
 
-// Pipelined bytes are buffered up to kFreePipelinedBytes, and up to kMaxPipelinedBytes (one whole request) if
-// there is memory for bodies left. Further bytes are read and discarded, because unread bytes would hide a
-// disconnect; the connection is then closed after the response to the current request. Between two deadline
-// checks (50 ms), reading stops once kMaxDiscardedBytes are discarded. This bounds the rate: the 4 MB that a
-// kernel holds for a sender take 0.2 s.
-constexpr std::size_t kFreePipelinedBytes = kMaxHeader;
+// Bytes are buffered up to kMaxPipelinedBytes (one whole request) while there is memory for requests. Further
+// pipelined bytes are read and discarded, because unread bytes would hide a disconnect; the connection is
+// then closed after the response to the current request. Between two deadline checks (50 ms), reading stops
+// once kMaxDiscardedBytes are discarded. This bounds the rate: the 4 MB that a kernel holds for a sender take
+// 0.2 s.
 constexpr std::size_t kMaxPipelinedBytes = kMaxHeader + kMaxBody;
 constexpr std::size_t kMaxDiscardedBytes = 1024 * 1024;
 constexpr std::size_t kDiscardSize = 64 * 1024;
@@ -74,8 +73,9 @@
     if (state_ == State::lingering) return on_lingering_bytes(ec, bytes.size());
     if (ec) return on_read_error(ec);
     const bool pipelined = state_ == State::waiting || state_ == State::writing;
-    if (pipelined && (!keep_alive_ || !reserve_pipelined(bytes.size())))
-        return discard_pipelined(bytes.size());
+    if (pipelined && !keep_alive_) return discard_pipelined(bytes.size());
+    if (!reserve_input(bytes.size()))
+        return pipelined ? discard_pipelined(bytes.size()) : reject(http::status::service_unavailable);
     if (pipelined && !pipelined_since_) pipelined_since_ = context_.clock.now() - context_.loop_waited();
     input_.commit(asio::buffer_copy(input_.prepare(bytes.size()), bytes));
     if (state_ == State::idle) return start_reading_request();
@@ -112,29 +112,28 @@
 
 // ---- Pipelined requests
 
-bool ClientSession::reserve_pipelined(std::size_t additional) {
+// Makes room in the input buffer for `additional` bytes. The buffer grows by kClientReadSize at a time, since
+// a buffer that doubles would occupy up to twice the memory of the bytes in it.
+bool ClientSession::reserve_input(std::size_t additional) {
     const std::size_t total = input_.size() + additional;
-    const std::size_t other_reserved_bytes = context_.body_bytes - reserved_pipelined_bytes_;
     if (total > kMaxPipelinedBytes) return false;
-    if (total > kFreePipelinedBytes &&
-        other_reserved_bytes + total - kFreePipelinedBytes > context_.limits.body_bytes)
-        return false;
-    account_pipelined(total);
+    if (total <= input_.capacity()) return true;
+    const std::size_t capacity = (total + kClientReadSize - 1) / kClientReadSize * kClientReadSize;
+    if (!input_memory_.resize(capacity)) return false;
+    input_.max_size(capacity);
     return true;
 }
 
-void ClientSession::account_pipelined(std::size_t bytes) {
-    context_.body_bytes -= reserved_pipelined_bytes_;
-    reserved_pipelined_bytes_ = bytes > kFreePipelinedBytes ? bytes - kFreePipelinedBytes : 0;
-    context_.body_bytes += reserved_pipelined_bytes_;
+void ClientSession::shrink_input() {
+    input_.shrink_to_fit();
+    input_memory_.resize(input_.capacity());
 }
 
 void ClientSession::drop_pipelined() {
     input_.clear();
-    input_.shrink_to_fit();
+    shrink_input();
     pipelined_since_.reset();
     pipelined_.clear();
-    account_pipelined(0);
 }
 
 // The time at which the current request is failed so that the responses to pipelined requests are in time:
--- a/src/proxy/listener.hpp
+++ b/src/proxy/listener.hpp
@@ -30,6 +30,7 @@
     /// may be evicted (ClientSession::EvictionRank) are closed, and no new connections are accepted.
     void set_limits(const Limits& limits) {
         context_.limits = limits;
+        context_.request_memory->set_limit(limits.request_memory);
         accept();
     }
     /// Called with each request that is invalid under its configuration, and with that configuration.
--- a/src/proxy/listener_context.hpp
+++ b/src/proxy/listener_context.hpp
@@ -1,5 +1,5 @@
 // State that a listener and its client sessions share: limits, the sessions, the correlation ids of requests
-// being served, the memory for bodies, and the state of a drain.
+// being served, the memory for requests, and the state of a drain.
 #pragma once
 
 #include <algorithm>
@@ -13,6 +13,7 @@
 #include "control/config_versions.hpp"
 #include "proxy/balancer_driver.hpp"
 #include "proxy/close_reason.hpp"
+#include "proxy/memory_budget.hpp"
 #include "proxy/unread_time.hpp"
 
 namespace ochregrade::sidecar {
@@ -22,7 +23,7 @@
 
 struct ListenerLimits {
     std::size_t connections = 400;
-    std::size_t body_bytes = 16 << 20;  // for bodies and pipelined bytes of all sessions together
+    std::size_t request_memory = 16 << 20;  // bytes, for the requests and input buffers of all sessions
 };
 
 /// Measures how late the event loop runs, by the listener's periodic deadline check.
@@ -61,7 +62,7 @@
     SessionList sessions{};  // least recently used first
     std::unordered_set<std::string> open_request_ids{};
     CloseCounts closes{};
-    std::size_t body_bytes = 0;  // reserved by all sessions
+    std::shared_ptr<MemoryBudget> request_memory = std::make_shared<MemoryBudget>(limits.request_memory);
     LoopDelay loop_delay{};
     bool ready_for_use = false;
     bool draining = false;
--- a/src/proxy/request_validation.cpp
+++ b/src/proxy/request_validation.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Longest correlation id, bytes. Several copies of it exist while its request is served.
+constexpr std::size_t kMaxCorrelationIdBytes = 1024;
+
 struct ParsedNumber {
     double value = 0;
     const char* end = nullptr;  // the first character after the number
@@ -36,6 +39,7 @@
 bool has_required_headers(const HttpRequest& request) {
     return is_given_once(request, "Host") && is_given_once(request, "X-Correlation-Id") &&
            is_given_once(request, "X-Service-Class") && is_given_once(request, "X-Time-Left") &&
+           request["X-Correlation-Id"].size() <= kMaxCorrelationIdBytes &&
            is_graphic(request["X-Correlation-Id"]) && parse_time_left(request["X-Time-Left"]);
 }
 
--- a/src/proxy/upstream_connection.hpp
+++ b/src/proxy/upstream_connection.hpp
@@ -134,7 +134,7 @@
     beast::flat_buffer input_;
     std::size_t head_bytes_ = 0;
     int interim_responses_ = 0;  // 1xx
-    std::optional<http::response_parser<http::string_body>> parser_;
+    std::optional<ResponseParser> parser_;
     Millis idle_since_ = 0;
     Millis acknowledged_at_ = 0;
 };
--- /dev/null
+++ b/tests/proxy/request_memory_test.cpp
@@ -0,0 +1,109 @@
+// Memory that clients and endpoints make the sidecar keep: it is bounded by what the data occupies, not by
+// the bytes that arrive.
+#include <list>
+
+#include "support/stepped_sidecar.hpp"
+
+namespace ochregrade::sidecar {
+namespace {
+
+constexpr std::size_t kRequestMemory = 256 << 10;  // bytes
+
+// `bytes` bytes of the smallest header fields.
+std::string smallest_fields(std::size_t bytes) {
+    std::string fields;
+    while (fields.size() < bytes) fields += "a:\r\n";
+    return fields;
+}
+
+// Guards against a sidecar that is killed for its memory: heads of very short fields, which occupy 20 times
+// their bytes once they are parsed, were read up to 16 KiB on each connection.
+TEST(RequestMemory, HeadOfShortFieldsIsRejectedBeforeItFillsMemory) {
+    SteppedSidecar sidecar(a_config(kNoAddress, {host("s1", kNoAddress)}));
+    App app(sidecar.listener.endpoint());
+    EXPECT_EQ(sidecar.ask(app, "GET /listen HTTP/1.1\r\n" + smallest_fields(15000)).result_int(), 431u);
+}
+
+// The same for the trailer fields of a chunked request, which are parsed into the same list.
+TEST(RequestMemory, TrailersOfShortFieldsAreRejected) {
+    SteppedSidecar sidecar(a_config(kNoAddress, {host("s1", kNoAddress)}));
+    App app(sidecar.listener.endpoint());
+    const std::string head = App::request("deposit", "25000m", "", "Transfer-Encoding: chunked\r\n");
+    const auto length = head.find("Content-Length");
+    const std::string chunked = head.substr(0, length) + "\r\n1\r\nx\r\n0\r\n";
+    EXPECT_EQ(sidecar.ask(app, chunked + smallest_fields(15000) + "\r\n").result_int(), 431u);
+}
+
+// Guards against the same growth through an endpoint's response.
+TEST(RequestMemory, ResponseOfShortFieldsIsAFailedAttempt) {
+    FakeServer server([](Wire& wire, const HttpRequest&, int) {
+        wire.respond(200, "fine", smallest_fields(15000));
+        return true;
+    });
+    SteppedSidecar sidecar(a_config(kNoAddress, {host("s1", server.at())}));
+    App app(sidecar.listener.endpoint());
+    EXPECT_EQ(sidecar.ask(app, App::request("deposit")).result_int(), 502u);
+}
+
+// Guards against a sidecar that is killed for its memory: what clients had sent of a request counted towards
+// no limit before its head was complete.
+TEST(RequestMemory, UnfinishedHeadsShareTheMemoryAndSmallRequestsAreServedBeside) {
+    FakeServer server;
+    SteppedSidecar sidecar(a_config(kNoAddress, {host("s1", server.at())}), {400, kRequestMemory});
+    std::list<App> unfinished;
+    for (int i = 0; i < 60; ++i) {
+        unfinished.emplace_back(sidecar.listener.endpoint());
+        unfinished.back().wire.write("GET /listen HTTP/1.1\r\nX-Long: " + std::string(15000, 'x') + "\r\n");
+    }
+    const auto rejected = [&] {
+        return std::count_if(unfinished.begin(), unfinished.end(),
+                             [](App& app) { return is_readable(app.wire); });
+    };
+    // Each of them occupies over 10 KiB beyond its free part, so most do not fit.
+    ASSERT_TRUE(sidecar.until([&] { return rejected() >= 30; }));
+    for (App& app : unfinished) {
+        if (is_readable(app.wire)) {
+            EXPECT_EQ(app.answer().result_int(), 503u);
+        }
+    }
+    App small(sidecar.listener.endpoint());
+    EXPECT_EQ(sidecar.ask(small, App::request("listen")).result_int(), 200u);
+}
+
+// Guards against memory that grows by requests whose clients have left: it stays reserved while an attempt
+// still holds the request.
+TEST(RequestMemory, RequestInFlightStaysReservedAfterItsClientHasLeft) {
+    std::promise<void> release;
+    std::shared_future<void> released = release.get_future().share();
+    FakeServer server([&](Wire& wire, const HttpRequest&, int) {
+        return released.wait(), wire.respond(200, "fine"), true;
+    });
+    json config = a_config(kNoAddress, {host("s1", server.at())});
+    config["settings"]["limits"]["may-cancel"] = false;
+    SteppedSidecar sidecar(config, {400, 90000});
+    const std::string large = App::request("deposit", "25000m", std::string(60000, 'x'));
+    auto left = std::make_unique<App>(sidecar.listener.endpoint());
+    left->wire.write(large);
+    ASSERT_TRUE(sidecar.until([&] { return server.seen().size() == 1; }));
+    left.reset();
+    ASSERT_TRUE(sidecar.until([&] { return sidecar.driver.totals().client_disconnects == 1; }));
+    App other(sidecar.listener.endpoint());
+    EXPECT_EQ(sidecar.ask(other, App::request("deposit", "25000m", std::string(60000, 'x'))).result_int(),
+              503u);
+    release.set_value();
+    ASSERT_TRUE(sidecar.until([&] { return sidecar.driver.usage().attempts == 0; }));
+    App again(sidecar.listener.endpoint());
+    EXPECT_EQ(sidecar.ask(again, App::request("deposit", "25000m", std::string(60000, 'x'))).result_int(),
+              200u);
+}
+
+TEST(RequestMemory, CorrelationIdIsBounded) {
+    SteppedSidecar sidecar(a_config(kNoAddress, {host("s1", kNoAddress)}));
+    App app(sidecar.listener.endpoint());
+    std::string request = App::request("deposit");
+    request.replace(request.find("9b1f"), 4, std::string(1100, 'f'));
+    EXPECT_EQ(sidecar.ask(app, request).result_int(), 400u);
+}
+
+}  // namespace
+}  // namespace ochregrade::sidecar
