A client that left behind any number of unread bytes gets no further attempt

Cause: the check before an attempt peeked at the first unread byte, and the end of a connection comes behind all bytes before it; reading is limited to 1 MiB between two checks of deadlines.

Change: check_disconnected() reads all that the kernel has, 8 MiB at most; a request with more behind it is answered with 502. A disconnect that is found ends the request before the attempt is written.

BehindUnreadBytesPreventsTheFirstAttempt and ...TheRetry failed on the code before; ...PipelinedRequests and EndlessBytes... passed there too and guard the new path.

--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -116,10 +116,6 @@
                 {{"id", open_request_id_}, {"state", to_string(before)}, {"reason", to_string(reason)}});
 }
 
-void ClientSession::check_disconnected() {
-    if (state_ == State::waiting && peek(socket_) == SocketState::closed) close(CloseReason::peer_closed);
-}
-
 void ClientSession::on_deadline() {
     if (state_ == State::waiting) return context_.driver.fail_for_pipelined(request_id_);
     if (state_ == State::reading) return reject(http::status::request_timeout);
--- a/src/proxy/client_session.hpp
+++ b/src/proxy/client_session.hpp
@@ -2,11 +2,13 @@
 // balancer driver and writes the responses, one request at a time, until the connection closes.
 #pragma once
 
+#include <array>
 #include <memory>
 #include <optional>
 #include <string>
 
 #include "common/http.hpp"
+#include "common/socket_io.hpp"
 #include "proxy/balancer_driver.hpp"
 #include "proxy/listener_context.hpp"
 #include "proxy/pipelined_requests.hpp"
@@ -19,6 +21,8 @@
 // Bytes read at a time (pipelined bytes that are discarded: kDiscardSize). An idle session keeps no larger
 // input buffer.
 constexpr std::size_t kClientReadSize = 4096;
+constexpr std::size_t kDiscardSize = 64 * 1024;
+using InputChunk = std::array<char, kDiscardSize>;
 
 class ClientSession : public Client, public std::enable_shared_from_this<ClientSession> {
 public:
@@ -58,6 +62,8 @@
     void become_idle();
     void receive();
     void read_available_bytes(error_code wait_result);
+    Transfer read_chunk(InputChunk& chunk);
+    void handle_input(error_code ec, asio::const_buffer bytes);
     void on_received(error_code ec, asio::const_buffer bytes);
     void on_read_error(error_code ec);
     void on_lingering_bytes(error_code ec, std::size_t size);
--- a/src/proxy/client_session_input.cpp
+++ b/src/proxy/client_session_input.cpp
@@ -25,7 +25,9 @@
 // 0.2 s.
 constexpr std::size_t kMaxPipelinedBytes = kMaxHeader + kMaxBody;
 constexpr std::size_t kMaxDiscardedBytes = 1024 * 1024;
-constexpr std::size_t kDiscardSize = 64 * 1024;
+// Bytes that check_disconnected() reads in search of the connection's end. This is more than the kernels of
+// both sides usually hold for a connection (4 MB and kClientReceiveBuffer).
+constexpr std::size_t kMaxUnreadBytes = 8 * 1024 * 1024;
 
 // Whether the error is one that Linux reports when the peer has closed the connection or the network has
 // failed.
@@ -54,21 +56,42 @@
     });
 }
 
-void ClientSession::read_available_bytes(error_code wait_result) {
-    std::array<char, kDiscardSize> chunk;
+Transfer ClientSession::read_chunk(InputChunk& chunk) {
     const std::size_t max_size = state_ == State::waiting && !keep_alive_ ? kDiscardSize : kClientReadSize;
+    return read_available(socket_, asio::buffer(chunk.data(), max_size));
+}
+
+void ClientSession::read_available_bytes(error_code wait_result) {
+    InputChunk chunk;
     Transfer transfer{0, wait_result};
-    if (!wait_result) transfer = read_available(socket_, asio::buffer(chunk.data(), max_size));
+    if (!wait_result) transfer = read_chunk(chunk);
     if (!transfer.error && transfer.bytes == 0) return receive();
+    handle_input(transfer.error, asio::buffer(chunk, transfer.bytes));
+}
+
+// An error of one connection must not affect other connections.
+void ClientSession::handle_input(error_code ec, asio::const_buffer bytes) {
     try {
-        on_received(transfer.error, asio::buffer(chunk, transfer.bytes));
+        on_received(ec, bytes);
     } catch (const std::exception& error) {
-        // An error of one connection must not affect other connections.
         log_line(std::string("client connection failed: ") + error.what());
         close(CloseReason::error);
     }
 }
 
+// Reads all bytes that the kernel has, since the end of the connection is behind them. A client that goes on
+// sending for longer than it takes to read kMaxUnreadBytes may have left unnoticed, so its request is failed.
+void ClientSession::check_disconnected() {
+    InputChunk chunk;
+    for (std::size_t total = 0; state_ == State::waiting;) {
+        const Transfer transfer = read_chunk(chunk);
+        if (!transfer.error && transfer.bytes == 0) return;
+        total += transfer.bytes;
+        if (total > kMaxUnreadBytes) return context_.driver.fail_for_pipelined(request_id_);
+        handle_input(transfer.error, asio::buffer(chunk, transfer.bytes));
+    }
+}
+
 void ClientSession::on_received(error_code ec, asio::const_buffer bytes) {
     if (state_ == State::lingering) return on_lingering_bytes(ec, bytes.size());
     if (ec) return on_read_error(ec);
--- a/tests/proxy/client_disconnect_test.cpp
+++ b/tests/proxy/client_disconnect_test.cpp
@@ -117,6 +117,82 @@
     }
 }
 
+// Writes `bytes` and closes the connection, both before the sidecar reads anything.
+void write_and_close(App& app, const std::string& bytes) {
+    app.wire.socket.set_option(asio::socket_base::send_buffer_size(1 << 20));
+    const int socket = app.wire.socket.native_handle();
+    ASSERT_EQ(::send(socket, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL),
+              static_cast<ssize_t>(bytes.size()));
+    app.wire.socket.close();
+}
+
+// Guards against an attempt for a client that has left: before an attempt only the first unread byte was
+// looked at, and the end of the connection was behind many.
+TEST(ClientDisconnect, BehindUnreadBytesPreventsTheFirstAttempt) {
+    for (const std::size_t behind : {10u << 10, 200u << 10}) {
+        FakeServer server;
+        SteppedSidecar sidecar(a_config(kNoAddress, {host("s1", server.at())}));
+        App app(sidecar.listener.endpoint());
+        write_and_close(app, App::request("deposit") + std::string(behind, 'x'));
+        EXPECT_TRUE(sidecar.until([&] { return sidecar.driver.totals().client_disconnects == 1; }));
+        EXPECT_EQ(sidecar.driver.totals().arrived, 1u);
+        EXPECT_EQ(server.connections(), 0) << behind;
+    }
+}
+
+// The same for a request that was pipelined: it must not be sent when the response before it is written.
+TEST(ClientDisconnect, BehindUnreadBytesPreventsPipelinedRequests) {
+    FakeServer server;
+    SteppedSidecar sidecar(a_config(kNoAddress, {host("s1", server.at())}));
+    App app(sidecar.listener.endpoint());
+    write_and_close(app, kHealthRequest + App::request("deposit") + std::string(10 << 10, 'x'));
+    EXPECT_TRUE(sidecar.until([&] { return sidecar.listener.connections() == 0; }));
+    EXPECT_EQ(server.connections(), 0);
+}
+
+// The same for a retry: the client left while the first attempt was in flight.
+TEST(ClientDisconnect, BehindUnreadBytesPreventsTheRetry) {
+    std::promise<void> release;
+    std::shared_future<void> released = release.get_future().share();
+    FakeServer server([&](Wire& wire, const HttpRequest&, int) {
+        return released.wait(), wire.respond(503, "", "X-Unprocessed: 1\r\n"), true;
+    });
+    SteppedSidecar sidecar(a_config(kNoAddress, {host("s1", server.at())}));
+    App app(sidecar.listener.endpoint());
+    app.wire.write(App::request("deposit"));
+    ASSERT_TRUE(sidecar.until([&] { return server.seen().size() == 1; }));
+    release.set_value();
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));  // the rejection is in the kernel
+    write_and_close(app, std::string(200 << 10, 'x'));
+    EXPECT_TRUE(sidecar.until([&] { return sidecar.driver.totals().client_disconnects == 1; }));
+    EXPECT_EQ(server.seen().size(), 1u);
+}
+
+// A client that sends without end may have left unnoticed. It gets its final response.
+TEST(ClientDisconnect, EndlessBytesFailTheRequestAtItsNextAttempt) {
+    std::promise<void> release;
+    std::shared_future<void> released = release.get_future().share();
+    FakeServer server([&](Wire& wire, const HttpRequest&, int) {
+        return released.wait(), wire.respond(503, "", "X-Unprocessed: 1\r\n"), true;
+    });
+    Running sidecar(a_config(kNoAddress, {host("s1", server.at())}));
+    App app(sidecar.at);
+    app.wire.write(App::request("deposit"));
+    ASSERT_TRUE(server.wait_for(1));
+    std::atomic<bool> answered{false};
+    std::thread flood([&] {
+        const std::string block(256 << 10, 'x');
+        while (!answered) ::send(app.wire.socket.native_handle(), block.data(), block.size(), MSG_NOSIGNAL);
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    release.set_value();
+    const unsigned status = app.answer().result_int();
+    answered = true;
+    app.wire.socket.shutdown(tcp::socket::shutdown_both);
+    flood.join();
+    EXPECT_TRUE(status == 502u || status == 503u) << status;
+}
+
 // A disconnect behind pipelined bytes must also be detected soon: the 4 MB that a kernel holds for a sender
 // are discarded within 0.3 s, which is six deadline checks (one per 50 ms). The test makes a deadline check,
 // and counts it, whenever the event loop has had nothing to do for 5 ms.
