An id that may have run is rejected when it comes again after its client left

Cause: a correlation id was known only while a connection waited for its response.

Change: DepartedRequests remembers for 60 s the ids (hashes, 8,192 at most) of requests that are not idempotent, may have run, and whose client left before it read the response. They get 409 like an id that is being served. A request that was never written, or is idempotent, is served when it comes again.

--- a/bench/bad_clients.py
+++ b/bench/bad_clients.py
@@ -33,6 +33,9 @@
 SLOW_INTERVAL_S = 0.02
 SAMPLE_INTERVAL_S = 0.01
 FLOOD_BATCH = 400  # requests in one write of a flood
+READ_LIMIT = 4096  # bytes that a bad client's stream buffers
+STAY_UNREAD_S = 8
+LARGE_ANSWER = b"x" * 65000
 
 
 def request(name, request_class="listen", body=None, extra=""):
@@ -87,6 +90,9 @@
     "whole-large-body": _whole_large_body,
 }
 
+# Each of these asks for a large answer; "unread" never reads it, "cut" leaves at once.
+ASKING = ("large-answers", "large-answers-unread", "large-requests-cut")
+
 
 def _batch(kind, names):
     """The next write of a flood."""
@@ -95,12 +101,13 @@
         "flood-tiny": lambda name: b"G / HTTP/1.1\r\n\r\n",
         "flood-health": lambda name: b"GET /healthz HTTP/1.1\r\nHost: api\r\n\r\n",
         "flood-sound": request,
+        "flood-expired": lambda name: request(name).replace(f"{TIME_LEFT_MS}m".encode(), b"1u"),
         "flood-names": lambda name: request(name, f"class-{name}"),
     }
     return b"".join(bodies[kind](next(names)) for _ in range(FLOOD_BATCH))
 
 
-FLOODS = ("flood-unsound", "flood-tiny", "flood-health", "flood-sound", "flood-names")
+FLOODS = ("flood-unsound", "flood-tiny", "flood-health", "flood-sound", "flood-expired", "flood-names")
 SLOW = ("slow-body", "slow-behind-many")
 
 
@@ -119,13 +126,29 @@
             pass
 
 
+async def _ask_for_large_answer(kind, writer, discarding, name):
+    if kind == "large-answers-unread":
+        writer.transport.pause_reading()
+    if kind == "large-requests-cut":
+        writer.write(request(name, "deposit", b"x" * 65000))
+        await writer.drain()
+        return
+    writer.write(request(name, extra="X-Answer: large\r\n"))
+    if kind == "large-answers-unread":
+        await asyncio.sleep(STAY_UNREAD_S)
+    else:
+        await discarding
+
+
 async def _bad_connection(kind, port, name):
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=READ_LIMIT)
     discarding = asyncio.ensure_future(_discard(reader))
     try:
         if kind in STOPPING:
             writer.write(STOPPING[kind](name))
             await discarding
+        elif kind in ASKING:
+            await _ask_for_large_answer(kind, writer, discarding, name)
         elif kind in FLOODS:
             names = (f"{name}-{i}" for i in itertools.count())
             while not discarding.done():
@@ -156,6 +179,14 @@
     await asyncio.gather(*(_bad_client(kind, port, f"{os.getpid()}-{i}") for i in range(count)))
 
 
+class LargeAnswerServers(FakeServers):
+    """Fake servers whose answer is large if the request asks for it."""
+
+    def body(self, message):
+        """The answer's body."""
+        return LARGE_ANSWER if "x-answer" in message.headers else super().body(message)
+
+
 @dataclass
 class Observed:
     """What one run has shown."""
@@ -217,7 +248,7 @@
 async def play(options, kind):
     """Plays one kind of bad clients; whether the sidecar stayed within its bounds."""
     observed = Observed()
-    servers = FakeServers(SERVERS, WORK_S)
+    servers = LargeAnswerServers(SERVERS, WORK_S)
     await servers.start()
     discovery = FakeDiscovery(servers.hosts(SERVERS))
     await discovery.start()
@@ -247,7 +278,7 @@
     """Parses the arguments and plays the kinds one after another."""
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
     parser.add_argument("--program")
-    parser.add_argument("--kind", choices=[*STOPPING, *FLOODS, *SLOW], action="append")
+    parser.add_argument("--kind", choices=[*STOPPING, *ASKING, *FLOODS, *SLOW], action="append")
     parser.add_argument("--clients", type=int, help="default: 600, for a flood 1")
     parser.add_argument("--seconds", type=float, default=4)
     parser.add_argument("--memory-mb", type=int, default=32)
@@ -259,7 +290,7 @@
         asyncio.run(bad_clients(options.bad, options.port, options.clients))
         return 0
     held = True
-    for kind in options.kind or [*STOPPING, *FLOODS, *SLOW]:
+    for kind in options.kind or [*STOPPING, *ASKING, *FLOODS, *SLOW]:
         chosen = argparse.Namespace(**vars(options))
         chosen.clients = options.clients or (1 if kind in FLOODS else 600)
         held &= asyncio.run(play(chosen, kind))
--- a/bench/guarantee_rows.py
+++ b/bench/guarantee_rows.py
@@ -212,8 +212,8 @@
         [
             Edit(
                 DRIVER,
-                "    upstream_.withdraw_request(id);\n    enqueue(ClientDisconnected{id});\n",
-                "    upstream_.withdraw_request(id);\n",
+                "    enqueue(ClientDisconnected{id});\n    remove_request_if_done(id);\n    return repeat_forbidden;\n",
+                "    remove_request_if_done(id);\n    return repeat_forbidden;\n",
             )
         ],
         PROXY_TESTS,
@@ -285,6 +285,24 @@
         PROXY_TESTS,
         "PipelinedRequests.EachHeadIsParsedOnce",
     ),
+    Guarantee(
+        "all unread bytes are read in search of a disconnect",
+        [
+            Edit(
+                SESSION_INPUT,
+                "        handle_input(transfer.error, asio::buffer(chunk, transfer.bytes));\n    }\n",
+                "        return handle_input(transfer.error, asio::buffer(chunk, transfer.bytes));\n    }\n",
+            )
+        ],
+        PROXY_TESTS,
+        "ClientDisconnect.BehindUnreadBytesPreventsTheFirstAttempt",
+    ),
+    Guarantee(
+        "the id of a request that may have run is remembered",
+        [Edit(SESSION, "context_.departed_requests.add(unconfirmed_id_, context_.clock.now());", "{}")],
+        PROXY_TESTS,
+        "ClientDisconnect.IdThatMayHaveRunIsRejectedWhenItComesAgain",
+    ),
     Guarantee(
         "idle connections are checked for bytes before they are closed",
         [Edit(SESSION, "if (state_ == State::idle && has_unread_bytes()) return;", "")],
--- a/bench/support/fakes.py
+++ b/bench/support/fakes.py
@@ -39,13 +39,17 @@
                 if writer.get_extra_info("sockname")[1] in self.failing_ports:
                     writer.write(http1.response(500))
                     continue
-                writer.write(http1.response(200, message.target.encode()))
+                writer.write(http1.response(200, self.body(message)))
                 await writer.drain()
         except (ConnectionError, asyncio.CancelledError):
             pass  # the peer closed the connection, or the run ended
         finally:
             writer.close()
 
+    def body(self, message):
+        """The answer's body."""
+        return message.target.encode()
+
     async def _execute(self, message):
         """Simulates the work of a request. Probes, which have no correlation id, take no time."""
         if "x-correlation-id" in message.headers:
--- a/src/proxy/balancer_driver.cpp
+++ b/src/proxy/balancer_driver.cpp
@@ -159,17 +159,29 @@
     return id;
 }
 
-void BalancerDriver::client_disconnected(RequestId id) {
+bool BalancerDriver::client_disconnected(RequestId id) {
     PendingRequest* request = find_request(id);
-    if (!request || request->ended) return;
+    if (!request || request->ended) return false;
     request->ended = true;
     request->facts.client_disconnected = true;
     if (tracing()) trace("client_left", *request, {});
     --pending_requests_;
     ++totals_.client_disconnects;
     upstream_.withdraw_request(id);
+    const bool repeat_forbidden =
+        request->facts.kind.idempotency != Idempotency::idempotent && may_have_run(id);
     enqueue(ClientDisconnected{id});
     remove_request_if_done(id);
+    return repeat_forbidden;
+}
+
+// Whether an endpoint may have run the request, or may yet: attempts in flight that were not written
+// completely have been withdrawn.
+bool BalancerDriver::may_have_run(RequestId id) {
+    const std::vector<AttemptFacts>& attempts = find_request(id)->facts.attempts;
+    return upstream_.has_attempts(id) ||
+           std::any_of(attempts.begin(), attempts.end(),
+                       [](const AttemptFacts& attempt) { return attempt.may_have_run; });
 }
 
 // The balancer is notified as if the client had disconnected: the balancer then sends no response of its own,
--- a/src/proxy/balancer_driver.hpp
+++ b/src/proxy/balancer_driver.hpp
@@ -65,7 +65,9 @@
     /// later, through `client`.
     RequestId request_arrived(RequestPtr request, Millis time_left, std::weak_ptr<Client> client,
                               ConfigSnapshotPtr snapshot);
-    void client_disconnected(RequestId id);
+    /// Returns whether the request must not be run again: it is not idempotent, and it may have run or may
+    /// yet.
+    bool client_disconnected(RequestId id);
     /// Fails a request (502) before its deadline, because the responses to requests pipelined behind it are
     /// due.
     void fail_for_pipelined(RequestId id);
@@ -125,6 +127,7 @@
     void probe_ended(EndpointId id, Outcome outcome, Millis duration);
     bool may_write(AttemptKey key, bool partly_written);
     PendingRequest* find_request(RequestId id);
+    bool may_have_run(RequestId id);
     void count_attempt(AttemptKey key, const PendingRequest& request);
     void remove_request_if_done(RequestId id);
     void release_endpoint(EndpointId id);
--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -105,12 +105,23 @@
     state_ = State::closed;
     error_code ignored;
     socket_.close(ignored);
+    remember_departed(before);
     release_request();
     drop_pipelined();
-    if (before == State::waiting) context_.driver.client_disconnected(request_id_);
     context_.remove(position_);
 }
 
+// Notes the request whose client has left without its response. If the client comes again with the same id,
+// the request must not run twice.
+void ClientSession::remember_departed(State before) {
+    const bool unread = before == State::writing || response_unread_;
+    if (before == State::waiting && context_.driver.client_disconnected(request_id_))
+        unconfirmed_id_ = open_request_id_;
+    else if (!unread)
+        return;
+    if (!unconfirmed_id_.empty()) context_.departed_requests.add(unconfirmed_id_, context_.clock.now());
+}
+
 void ClientSession::trace_close(State before, CloseReason reason) const {
     trace_event("client_connection_closed",
                 {{"id", open_request_id_}, {"state", to_string(before)}, {"reason", to_string(reason)}});
@@ -220,6 +231,7 @@
     if (input_.size() > 0) pipelined_since_ = request_started_at_;  // earliest arrival of the next request
     keep_alive_ = request->keep_alive();
     first_request_ = false;
+    unconfirmed_id_.clear();
     if (health_check) return respond_to_health_check();
     // The configuration in force at a request's last byte applies to the request, and the trailers of a
     // chunked request may have added headers. In both cases the request is validated again.
@@ -233,8 +245,12 @@
         }
     }
     std::string id((*request)["X-Correlation-Id"]);
-    if (!context_.open_request_ids.insert(id).second)
+    idempotent_ = request->method() == http::verb::get;  // request_error() has compared both
+    const bool is_repeat = !idempotent_ && context_.departed_requests.contains(id, context_.clock.now());
+    if (is_repeat || !context_.open_request_ids.insert(id).second) {
+        if (tracing()) trace_event("id_rejected", {{"id", id}, {"client_had_left", is_repeat}});
         return write(HttpResponse(http::status::conflict, 11), keep_alive_);
+    }
     open_request_id_ = std::move(id);
     forward(std::move(request));
 }
@@ -279,6 +295,10 @@
 
 void ClientSession::send_response(HttpResponse response) {
     if (state_ != State::waiting) return;  // the client has disconnected
+    // A rejection shows that the request has not run.
+    const bool rejected = response.result() == http::status::service_unavailable;
+    if (!idempotent_ && !rejected) unconfirmed_id_ = open_request_id_;
+    response_unread_ = !idempotent_ && peek(socket_) == SocketState::closed;
     release_request();
     write(std::move(response), keep_alive_);
 }
--- a/src/proxy/client_session.hpp
+++ b/src/proxy/client_session.hpp
@@ -90,6 +90,7 @@
     void on_written(error_code ec, bool keep_alive);
     void linger();
     void release_request();
+    void remember_departed(State before);
     void trace_close(State before, CloseReason reason) const;
 
     ListenerContext& context_;
@@ -108,6 +109,11 @@
     ConfigSnapshotPtr snapshot_;  // the configuration of the request being read
     RequestId request_id_ = 0;
     std::string open_request_id_;  // its X-Correlation-Id while it is in open_request_ids
+    bool idempotent_ = false;      // of the request being served
+    // X-Correlation-Id of the request answered last, if it must not run again and no later request shows that
+    // the client has read the response.
+    std::string unconfirmed_id_;
+    bool response_unread_ = false;  // the client has left without reading that response
     std::size_t head_bytes_ = 0;
     MemoryReservation request_memory_;           // of the request being read
     MemoryReservation input_memory_;             // of input_
--- a/src/proxy/client_session_input.cpp
+++ b/src/proxy/client_session_input.cpp
@@ -93,6 +93,8 @@
 }
 
 void ClientSession::on_received(error_code ec, asio::const_buffer bytes) {
+    // A connection that is closed with unread bytes is reset.
+    if (ec == asio::error::connection_reset) response_unread_ = true;
     if (state_ == State::lingering) return on_lingering_bytes(ec, bytes.size());
     if (ec) return on_read_error(ec);
     const bool pipelined = state_ == State::waiting || state_ == State::writing;
--- a/src/proxy/listener_context.hpp
+++ b/src/proxy/listener_context.hpp
@@ -13,6 +13,7 @@
 #include "control/config_versions.hpp"
 #include "proxy/balancer_driver.hpp"
 #include "proxy/close_reason.hpp"
+#include "proxy/departed_requests.hpp"
 #include "proxy/memory_budget.hpp"
 #include "proxy/unread_time.hpp"
 
@@ -61,6 +62,7 @@
 
     SessionList sessions{};  // least recently used first
     std::unordered_set<std::string> open_request_ids{};
+    DepartedRequests departed_requests{driver.snapshot()->config.seed};
     CloseCounts closes{};
     std::shared_ptr<MemoryBudget> request_memory = std::make_shared<MemoryBudget>(limits.request_memory);
     LoopDelay loop_delay{};
--- a/src/proxy/upstream_pool.hpp
+++ b/src/proxy/upstream_pool.hpp
@@ -67,6 +67,11 @@
 
     std::size_t open() const { return open_; }
     std::size_t in_flight() const { return attempts_.size(); }
+    /// Whether any attempt of the request is in flight.
+    bool has_attempts(RequestId id) const {
+        const auto first = attempts_.lower_bound({id, 0});
+        return first != attempts_.end() && first->first.id == id;
+    }
     std::size_t pools() const { return groups_.size(); }
     const CloseCounts& closes() const { return closes_; }
 
--- a/tests/proxy/client_disconnect_test.cpp
+++ b/tests/proxy/client_disconnect_test.cpp
@@ -193,6 +193,76 @@
     EXPECT_TRUE(status == 502u || status == 503u) << status;
 }
 
+// Guards against a request that runs twice: its client left, and the same id came again on another connection
+// while the first run was in flight, or after it.
+TEST(ClientDisconnect, IdThatMayHaveRunIsRejectedWhenItComesAgain) {
+    for (const bool may_cancel : {false, true}) {
+        std::promise<void> release;
+        std::shared_future<void> released = release.get_future().share();
+        FakeServer server([&](Wire& wire, const HttpRequest&, int) {
+            return released.wait(), wire.respond(200, "fine"), true;
+        });
+        json config = a_config(kNoAddress, {host("s1", server.at())});
+        config["settings"]["limits"]["may-cancel"] = may_cancel;
+        SteppedSidecar sidecar(config);
+        const std::string request = App::request("deposit");
+        auto left = std::make_unique<App>(sidecar.listener.endpoint());
+        left->wire.write(request);
+        ASSERT_TRUE(sidecar.until([&] { return server.seen().size() == 1; }));
+        left.reset();
+        ASSERT_TRUE(sidecar.until([&] { return sidecar.driver.totals().client_disconnects == 1; }));
+        App again(sidecar.listener.endpoint());
+        EXPECT_EQ(sidecar.ask(again, request).result_int(), 409u);
+        release.set_value();
+        ASSERT_TRUE(sidecar.until([&] { return sidecar.driver.usage().attempts == 0; }));
+        EXPECT_EQ(sidecar.ask(again, request).result_int(), 409u);
+        EXPECT_EQ(server.seen().size(), 1u);
+    }
+}
+
+// What has not run, or may run twice, is served when it comes again.
+TEST(ClientDisconnect, IdThatMayRunIsServedWhenItComesAgain) {
+    std::promise<void> release;
+    std::shared_future<void> released = release.get_future().share();
+    FakeServer server([&](Wire& wire, const HttpRequest&, int number) {
+        if (number == 0) released.wait();
+        return wire.respond(200, "fine"), true;
+    });
+    SteppedSidecar sidecar(a_config(kNoAddress, {host("s1", server.at())}));
+    const std::string not_sent = App::request("deposit"), repeatable = App::request("listen");
+    auto left = std::make_unique<App>(sidecar.listener.endpoint());
+    left->wire.write(repeatable);
+    ASSERT_TRUE(sidecar.until([&] { return server.seen().size() == 1; }));
+    left.reset();
+    ASSERT_TRUE(sidecar.until([&] { return sidecar.driver.totals().client_disconnects == 1; }));
+    release.set_value();
+    App before(sidecar.listener.endpoint());
+    write_and_close(before, not_sent + std::string(10 << 10, 'x'));
+    ASSERT_TRUE(sidecar.until([&] { return sidecar.driver.totals().client_disconnects == 2; }));
+    App again(sidecar.listener.endpoint());
+    EXPECT_EQ(sidecar.ask(again, repeatable).result_int(), 200u);
+    EXPECT_EQ(sidecar.ask(again, not_sent).result_int(), 200u);
+}
+
+// The client may also leave while its response is being written.
+TEST(ClientDisconnect, IdWhoseResponseWasNotReadIsRejectedWhenItComesAgain) {
+    FakeServer server([&](Wire& wire, const HttpRequest&, int) {
+        return wire.respond(200, std::string(64 << 10, 'x')), true;
+    });
+    SteppedSidecar sidecar(a_config(kNoAddress, {host("s1", server.at())}));
+    const std::string request = App::request("deposit");
+    auto left = std::make_unique<App>(sidecar.listener.endpoint());
+    left->wire.write(request);
+    ASSERT_TRUE(sidecar.until([&] { return server.seen().size() == 1; }));
+    // The response is in this process's memory or in the kernel when the connection is reset.
+    left->wire.reset();
+    left.reset();
+    ASSERT_TRUE(sidecar.until([&] { return sidecar.listener.connections() == 0; }));
+    App again(sidecar.listener.endpoint());
+    EXPECT_EQ(sidecar.ask(again, request).result_int(), 409u);
+    EXPECT_EQ(server.seen().size(), 1u);
+}
+
 // A disconnect behind pipelined bytes must also be detected soon: the 4 MB that a kernel holds for a sender
 // are discarded within 0.3 s, which is six deadline checks (one per 50 ms). The test makes a deadline check,
 // and counts it, whenever the event loop has had nothing to do for 5 ms.
