An endpoint is not used once a newer process is listed at its address

Cause: endpoints were told apart by name alone.

Change: of the listed endpoints at one address, those with an earlier start time pass to the balancer as removed; pending connections to them are withdrawn, idle ones closed. Equal start times are left alone, since names behind one proxy share an address.

--- a/bench/guarantee_rows.py
+++ b/bench/guarantee_rows.py
@@ -303,6 +303,12 @@
         PROXY_TESTS,
         "ClientDisconnect.IdThatMayHaveRunIsRejectedWhenItComesAgain",
     ),
+    Guarantee(
+        "an endpoint whose address has a newer process is not used",
+        [Edit(PROXY_ENDPOINTS, "endpoint.started_at < latest_start[endpoint.address]", "false")],
+        PROXY_TESTS,
+        "EndpointList.GoneEndpointIsNotUsedWhenItsAddressHasANewProcess",
+    ),
     Guarantee(
         "idle connections are checked for bytes before they are closed",
         [Edit(SESSION, "if (state_ == State::idle && has_unread_bytes()) return;", "")],
--- a/src/proxy/endpoint_table.cpp
+++ b/src/proxy/endpoint_table.cpp
@@ -1,5 +1,8 @@
 #include "proxy/endpoint_table.hpp"
 
+#include <algorithm>
+#include <utility>
+
 #include "common/endpoint_id.hpp"
 #include "fleet/replication_driver.hpp"
 
@@ -35,32 +38,63 @@
     start_times_.observe(clock_.wall_error());
     if (list.complete)
         for (auto& [id, endpoint] : endpoints_) endpoint.listed = false;
+    std::vector<EndpointId> updated;
     for (const ListedEndpoint& listed : list.endpoints) {
-        const EndpointId id = find_or_add(listed.name);
-        UpstreamEndpoint& endpoint = endpoints_[id];
-        const bool restarted = endpoint.started_at != listed.started_at;
-        // If the endpoint has a new process or a new address, its open connections are useless. Its pending
-        // connections may reach the wrong process, because another endpoint may use the old address by now.
-        if (restarted || endpoint.address != listed.address) changes.moved.push_back(id);
-        if (restarted)
-            endpoint.started_at_clock = start_times_.to_process_clock(listed.started_at, clock_.now());
-        endpoint.started_at = listed.started_at;
-        endpoint.zone = listed.zone;
-        endpoint.cell = listed.cell;
-        endpoint.capacity_weight = listed.capacity_weight;
-        endpoint.state = listed.state;
-        endpoint.listed = listed.state != EndpointState::removed;
-        if (endpoint.listed) endpoint.address = listed.address;
-        changes.updates.push_back({id, zones_.id_of(listed.zone), listed.cell, listed.state,
-                                   endpoint.started_at_clock, listed.capacity_weight});
+        updated.push_back(find_or_add(listed.name));
+        apply(updated.back(), listed, changes);
     }
+    for (const EndpointId id : update_replaced()) updated.push_back(id);
+    for (const EndpointId id : updated) changes.updates.push_back(for_balancer(id));
     return changes;
 }
 
+void EndpointTable::apply(EndpointId id, const ListedEndpoint& listed, Changes& changes) {
+    UpstreamEndpoint& endpoint = endpoints_[id];
+    const bool restarted = endpoint.started_at != listed.started_at;
+    // If the endpoint has a new process or a new address, its open connections are useless. Its pending
+    // connections may reach the wrong process, because another endpoint may use the old address by now.
+    if (restarted || endpoint.address != listed.address) changes.moved.push_back(id);
+    if (restarted) endpoint.started_at_clock = start_times_.to_process_clock(listed.started_at, clock_.now());
+    endpoint.started_at = listed.started_at;
+    endpoint.zone = listed.zone;
+    endpoint.cell = listed.cell;
+    endpoint.capacity_weight = listed.capacity_weight;
+    endpoint.state = listed.state;
+    endpoint.listed = listed.state != EndpointState::removed;
+    if (endpoint.listed) endpoint.address = listed.address;
+}
+
+// Returns the endpoints that are replaced now and were not before, or the other way round. Endpoints that
+// share an address and a start time are not replaced: they may be behind one proxy.
+std::vector<EndpointId> EndpointTable::update_replaced() {
+    std::map<tcp::endpoint, Millis> latest_start;  // at each address
+    for (const auto& [id, endpoint] : endpoints_) {
+        if (!endpoint.listed) continue;
+        Millis& start = latest_start[endpoint.address];
+        start = std::max(start, endpoint.started_at);
+    }
+    std::vector<EndpointId> changed;
+    for (auto& [id, endpoint] : endpoints_) {
+        const bool replaced = endpoint.listed && endpoint.started_at < latest_start[endpoint.address];
+        if (std::exchange(endpoint.replaced, replaced) != replaced) changed.push_back(id);
+    }
+    return changed;
+}
+
+Endpoint EndpointTable::for_balancer(EndpointId id) const {
+    const UpstreamEndpoint& endpoint = endpoints_.at(id);
+    return {id,
+            zones_.id_of(endpoint.zone),
+            endpoint.cell,
+            endpoint.replaced ? EndpointState::removed : endpoint.state,
+            endpoint.started_at_clock,
+            endpoint.capacity_weight};
+}
+
 std::vector<EndpointId> EndpointTable::not_serving() const {
     std::vector<EndpointId> ids;
     for (const auto& [id, endpoint] : endpoints_)
-        if (!endpoint.listed || endpoint.state != EndpointState::serving) ids.push_back(id);
+        if (!endpoint.is_serving()) ids.push_back(id);
     return ids;
 }
 
@@ -84,8 +118,7 @@
 EndpointFacts EndpointTable::facts(EndpointId id) const {
     const UpstreamEndpoint* endpoint = find(id);
     if (!endpoint) return {};
-    return {endpoint->listed && endpoint->state == EndpointState::serving, zones_.id_of(endpoint->zone),
-            endpoint->cell};
+    return {endpoint->is_serving(), zones_.id_of(endpoint->zone), endpoint->cell};
 }
 
 replication::EndpointKey EndpointTable::key_of(const ListedEndpoint& listed) const {
--- a/src/proxy/endpoint_table.hpp
+++ b/src/proxy/endpoint_table.hpp
@@ -29,7 +29,12 @@
     std::uint32_t cell = 0;
     double capacity_weight = 1;
     bool listed = false;
+    // Another listed endpoint has started later at the same address, so this one has gone.
+    bool replaced = false;
     std::uint32_t in_flight = 0;  // attempts and probes
+
+    /// Whether new requests may be sent to it.
+    bool is_serving() const { return listed && !replaced && state == EndpointState::serving; }
 };
 
 class EndpointTable {
@@ -47,9 +52,10 @@
         std::vector<EndpointId> moved;  // endpoints with a new process or address, also new endpoints
     };
     /// Applies an endpoint list from discovery. An endpoint that is missing in a complete list is not listed
-    /// any more.
+    /// any more. Only one process can be at an address: where discovery lists a new one before it removes the
+    /// one that was there, the older one is passed to the balancer as removed.
     Changes update(const EndpointList& list);
-    /// Endpoints to which no new request may be sent: draining or not listed.
+    /// Endpoints to which no new request may be sent: draining, replaced or not listed.
     std::vector<EndpointId> not_serving() const;
     /// Removes the endpoint if it is not listed and no attempt or probe to it is in flight.
     void remove_if_unused(EndpointId id);
@@ -64,6 +70,9 @@
 
 private:
     EndpointId find_or_add(const std::string& name);
+    void apply(EndpointId id, const ListedEndpoint& listed, Changes& changes);
+    std::vector<EndpointId> update_replaced();
+    Endpoint for_balancer(EndpointId id) const;
 
     const Clock& clock_;
     Zones& zones_;
--- a/tests/proxy/endpoint_table_test.cpp
+++ b/tests/proxy/endpoint_table_test.cpp
@@ -72,6 +72,61 @@
     EXPECT_EQ(new_address.seen().size(), 1u);
 }
 
+// An endpoint whose process started at `born_ms`, Unix milliseconds.
+json started_host(const std::string& name, const std::string& dial, double born_ms,
+                  const char* health = "SERVING") {
+    json entry = host(name, dial, health);
+    entry["born_ms"] = born_ms;
+    return entry;
+}
+
+EndpointList changes(std::uint64_t seq, const std::vector<json>& hosts) {
+    return parse_endpoint_list(json{{"seq", seq}, {"whole", false}, {"hosts", hosts}});
+}
+
+// Guards against requests at a draining endpoint: a new process had come up at the address of one that had
+// gone and was still listed, and requests for the old one went to the new one.
+TEST(EndpointList, GoneEndpointIsNotUsedWhenItsAddressHasANewProcess) {
+    FakeServer replaced, other;
+    SteppedSidecar sidecar(
+        a_config(kNoAddress, {started_host("old", replaced.at(), 0), host("other", other.at())}));
+    sidecar.driver.endpoints_received(changes(6, {started_host("new", replaced.at(), 1.7e12, "DRAINING")}));
+    App app(sidecar.listener.endpoint());
+    for (int i = 0; i < 20; ++i) EXPECT_EQ(sidecar.ask(app, App::request("deposit")).result_int(), 200u);
+    EXPECT_EQ(replaced.seen().size(), 0u);
+    EXPECT_EQ(other.seen().size(), 20u);
+    // When the new one is gone too, what discovery says of the old one holds again.
+    sidecar.driver.endpoints_received(changes(
+        7, {started_host("new", replaced.at(), 1.7e12, "DELETED"), host("other", other.at(), "DRAINING")}));
+    EXPECT_EQ(sidecar.ask(app, App::request("deposit")).result_int(), 200u);
+    EXPECT_EQ(replaced.seen().size(), 1u);
+}
+
+// An attempt that is still connecting to the old process would reach the new one.
+TEST(EndpointList, PendingConnectionToAReplacedEndpointIsWithdrawn) {
+    Silent replaced;
+    FakeServer other;
+    SteppedSidecar sidecar(a_config(kNoAddress, {host("old", replaced.at())}));
+    App app(sidecar.listener.endpoint());
+    const auto start = std::chrono::steady_clock::now();
+    app.wire.write(App::request("deposit"));
+    ASSERT_TRUE(sidecar.until([&] { return sidecar.driver.usage().connections == 1; }));
+    sidecar.driver.endpoints_received(
+        changes(6, {started_host("new", replaced.at(), 1.7e12, "DRAINING"), host("other", other.at())}));
+    EXPECT_EQ(sidecar.answer(app).result_int(), 200u);
+    EXPECT_LT(seconds_since(start), 15);  // well before the connect timeout of 20 s
+    EXPECT_EQ(other.seen().size(), 1u);
+}
+
+// A process that started at the same time is not taken for a new one: both may be behind one proxy.
+TEST(EndpointList, EndpointsThatShareAnAddressAreBothUsed) {
+    FakeServer shared;
+    SteppedSidecar sidecar(a_config(kNoAddress, {host("s1", shared.at())}));
+    sidecar.driver.endpoints_received(changes(6, {host("s2", shared.at(), "DRAINING")}));
+    App app(sidecar.listener.endpoint());
+    EXPECT_EQ(sidecar.ask(app, App::request("deposit")).result_int(), 200u);
+}
+
 // An endpoint that starts after a step of the wall clock reports its start time by the changed clock. Its
 // slow start must start and end at the same times as without the step.
 TEST(WallClock, StepDoesNotChangeSlowStart) {
