Responses share a bounded part of the memory

Change: a connection reserves memory for a whole response once its head is complete, a session for what it writes; together a sixth of the memory, 4 KiB of each free. While it is used up, further large responses stay in the kernel and wait in order, until memory is released or their attempts end.

Result: ResponseMemory.IsSharedAndSmallResponsesDoNotWait and ...WaitingResponseEndsAtItsDeadline pass; they need the new limit, so they have no run on the old code.

--- a/bench/guarantee_rows.py
+++ b/bench/guarantee_rows.py
@@ -309,6 +309,18 @@
         PROXY_TESTS,
         "EndpointList.GoneEndpointIsNotUsedWhenItsAddressHasANewProcess",
     ),
+    Guarantee(
+        "responses share the memory",
+        [
+            Edit(
+                CONNECTION,
+                "waits_for_memory_ = !response_reserved_;",
+                "response_reserved_ = true;",
+            )
+        ],
+        PROXY_TESTS,
+        "ResponseMemory.IsSharedAndSmallResponsesDoNotWait",
+    ),
     Guarantee(
         "idle connections are checked for bytes before they are closed",
         [Edit(SESSION, "if (state_ == State::idle && has_unread_bytes()) return;", "")],
--- a/src/process/resource_limits.cpp
+++ b/src/process/resource_limits.cpp
@@ -20,6 +20,10 @@
 // the received one, the copy for a retry and the copy that is being sent.
 constexpr std::size_t kRequestMemoryDivisor = 12;
 constexpr std::size_t kMinRequestMemory = kMaxBody + kMaxHeader + kMaxFieldMemory;
+// Responses may use 1/kResponseMemoryDivisor of the memory until clients have received them, at least
+// kMinResponseMemory bytes: one response of the largest size.
+constexpr std::size_t kResponseMemoryDivisor = 6;
+constexpr std::size_t kMinResponseMemory = kMaxBody + kMaxFieldMemory;
 constexpr int kBytesPerMegabyteShift = 20;
 // Idle time in ms before an upstream connection is reused. Bytes that an upstream sends after the end of its
 // response, such as a second response, arrive within milliseconds and would be read as the response to the
@@ -39,17 +43,22 @@
     return static_cast<std::size_t>(static_cast<double>(max_connections(config)) * kClientShare);
 }
 
+std::size_t memory_share(const Config& config, std::size_t divisor, std::size_t at_least) {
+    return std::max((config.memory_mb << kBytesPerMegabyteShift) / divisor, at_least);
+}
+
 }  // namespace
 
 UpstreamPool::Limits upstream_limits(const Config& config) {
     return {config.connect_timeout, config.idle_timeout,
-            max_connections(config) - max_client_connections(config), kQuietPeriod};
+            max_connections(config) - max_client_connections(config), kQuietPeriod,
+            memory_share(config, kResponseMemoryDivisor, kMinResponseMemory)};
 }
 
 Listener::Limits listener_limits(const Config& config) {
-    const std::size_t request_memory = (config.memory_mb << kBytesPerMegabyteShift) / kRequestMemoryDivisor;
     // The limit is one lower, because the listener accepts one connection beyond its limit.
-    return {max_client_connections(config) - 1, std::max(kMinRequestMemory, request_memory)};
+    return {max_client_connections(config) - 1,
+            memory_share(config, kRequestMemoryDivisor, kMinRequestMemory)};
 }
 
 void check_descriptors(const Config& candidate, const Config& running) {
--- a/src/proxy/balancer_driver.hpp
+++ b/src/proxy/balancer_driver.hpp
@@ -114,6 +114,8 @@
                     connections = 0, ejected = 0;
     };
     Usage usage() const;
+    /// The memory for responses, which a client's session reserves while it writes one.
+    const std::shared_ptr<MemoryBudget>& response_memory() const { return upstream_.response_memory(); }
     /// Closed upstream connections, by reason.
     const CloseCounts& upstream_closes() const { return upstream_.closes(); }
 
--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -37,6 +37,8 @@
 // requests are smaller, and bad clients cannot use up this part.
 constexpr std::size_t kFreeRequestBytes = 4096;
 constexpr std::size_t kFreeInputBytes = kClientReadSize;
+// Bytes of a response being written that do not count towards the memory for responses.
+constexpr std::size_t kFreeOutputBytes = 4096;
 
 /// A request together with the memory reserved for it, which is released with the last reference to it: an
 /// attempt may still be in flight when the client has disconnected.
@@ -67,6 +69,7 @@
       socket_(std::move(socket)),
       request_memory_(context.request_memory, kFreeRequestBytes),
       input_memory_(context.request_memory, kFreeInputBytes),
+      output_memory_(context.driver.response_memory(), kFreeOutputBytes),
       waited_(waited),
       state_since_(context.clock.now()) {}
 
@@ -315,6 +318,7 @@
     response.keep_alive(keep_alive);
     response.prepare_payload();
     output_ = serialize_message(response);
+    output_memory_.take(output_.capacity());
     async_write_all(
         socket_, asio::buffer(output_),
         [this, self = shared_from_this(), keep_alive](error_code ec) { on_written(ec, keep_alive); });
@@ -323,6 +327,7 @@
 void ClientSession::on_written(error_code ec, bool keep_alive) {
     if (state_ != State::writing) return;
     output_ = std::string();
+    output_memory_.take(output_.capacity());
     if (ec || disconnected_) return close(CloseReason::peer_closed);
     if (keep_alive && keep_alive_) return become_idle();
     linger();
--- a/src/proxy/client_session.hpp
+++ b/src/proxy/client_session.hpp
@@ -117,6 +117,7 @@
     std::size_t head_bytes_ = 0;
     MemoryReservation request_memory_;           // of the request being read
     MemoryReservation input_memory_;             // of input_
+    MemoryReservation output_memory_;            // of output_
     std::size_t discarded_bytes_ = 0;            // while lingering
     std::size_t discarded_pipelined_bytes_ = 0;  // since the last resume_reading()
 
--- a/src/proxy/memory_budget.hpp
+++ b/src/proxy/memory_budget.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <utility>
 
@@ -14,6 +15,8 @@
     /// Lowering the limit below the current use releases nothing; it only prevents further reservations.
     void set_limit(std::size_t limit) { limit_ = limit; }
     std::size_t reserved() const { return reserved_; }
+    /// Called whenever memory has been released. Must not change reservations.
+    std::function<void()> on_release;
 
 private:
     friend class MemoryReservation;
@@ -43,13 +46,20 @@
         const std::size_t counted = bytes > free_bytes_ ? bytes - free_bytes_ : 0;
         const std::size_t others = budget_->reserved_ - counted_;
         if (counted > counted_ && others + counted > budget_->limit_) return false;
-        budget_->reserved_ = others + counted;
-        counted_ = counted;
+        set(counted);
         return true;
     }
-    void release() { resize(0); }
+    /// Changes the reservation to `bytes` in all, also beyond the budget's limit.
+    void take(std::size_t bytes) { set(bytes > free_bytes_ ? bytes - free_bytes_ : 0); }
+    void release() { take(0); }
 
 private:
+    void set(std::size_t counted) {
+        const std::size_t before = std::exchange(counted_, counted);
+        budget_->reserved_ = budget_->reserved_ - before + counted;
+        if (counted < before && budget_->on_release) budget_->on_release();
+    }
+
     std::shared_ptr<MemoryBudget> budget_;
     std::size_t free_bytes_;
     std::size_t counted_ = 0;  // bytes of this owner in the budget
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -14,6 +14,9 @@
 // Receive buffer of an upstream connection, bytes. Unread bytes in the kernel count towards the process's
 // memory, and an endless response fills the buffer at once.
 constexpr int kUpstreamReceiveBuffer = 64 * 1024;
+// Bytes of a response that do not count towards the memory for responses: most responses are smaller, and
+// never wait for memory.
+constexpr std::size_t kFreeResponseBytes = 4096;
 
 // How long Linux may delay an acknowledgement, milliseconds (TCP_DELACK_MAX).
 constexpr Millis kMaxAcknowledgementDelay = 200;
@@ -47,7 +50,8 @@
 
 UpstreamConnection::UpstreamConnection(asio::io_context& io, const Clock& clock, Owner& owner,
                                        EndpointId endpoint, const tcp::endpoint& address,
-                                       std::shared_ptr<ConnectionGroup> group)
+                                       std::shared_ptr<ConnectionGroup> group,
+                                       std::shared_ptr<MemoryBudget> response_memory)
     : clock_(clock),
       owner_(owner),
       endpoint_(endpoint),
@@ -55,7 +59,8 @@
       group_(std::move(group)),
       socket_(io),
       timer_(io),
-      connect_retry_timer_(io) {}
+      connect_retry_timer_(io),
+      response_memory_(std::move(response_memory), kFreeResponseBytes) {}
 
 void UpstreamConnection::set_exchange(std::unique_ptr<Exchange> exchange) {
     exchange_ = std::move(exchange);
@@ -182,11 +187,14 @@
     parser_->body_limit(kMaxBody);
     parser_->eager(false);
     head_bytes_ = 0;
+    response_reserved_ = false;
     parse();
 }
 
 void UpstreamConnection::parse() {
     while (!parser_->is_done()) {
+        if (parser_->is_header_done() && !reserve_response())
+            return owner_.wait_for_memory(shared_from_this());
         const error_code ec = parse_buffered(*parser_, input_, head_bytes_);
         if (ec == http::error::need_more) return receive();
         if (ec) return end(Outcome::connection_reset);
@@ -198,6 +206,20 @@
     start_reading_response();
 }
 
+// Reserves memory for the whole response, so that responses that are read do not wait for each other. Returns
+// false if there is not enough now.
+bool UpstreamConnection::reserve_response() {
+    if (response_reserved_) return true;
+    const std::uint64_t body = parser_->content_length().value_or(kMaxBody);
+    response_reserved_ = response_memory_.resize(parser_->field_memory() + std::min(body, kMaxBody));
+    waits_for_memory_ = !response_reserved_;
+    return response_reserved_;
+}
+
+void UpstreamConnection::resume_reading() {
+    if (waits_for_memory()) parse_input();
+}
+
 void UpstreamConnection::receive() {
     socket_.async_read_some(
         input_.prepare(kReadSize),
@@ -210,8 +232,12 @@
     // response may be incomplete.
     if (ec == asio::error::eof && parser_->is_header_done() && parser_->need_eof()) parser_->put_eof(ec);
     if (ec) return end(Outcome::connection_reset);
+    input_.commit(size);
+    parse_input();
+}
+
+void UpstreamConnection::parse_input() {
     try {
-        input_.commit(size);
         parse();
     } catch (const std::exception& error) {
         // An error of one response must not affect other responses.
@@ -223,6 +249,7 @@
 void UpstreamConnection::on_response() {
     // Bytes behind the response belong to no request, so such a connection is not reused.
     const bool reusable = parser_->keep_alive() && input_.size() == 0;
+    const MemoryReservation memory = std::move(response_memory_);  // until the response is passed on
     HttpResponse response = parser_->release();
     parser_.reset();
     owner_.end_exchange(shared_from_this(), outcome_of(response), &response, reusable);
@@ -265,6 +292,7 @@
 
 void UpstreamConnection::close() {
     state_ = State::closed;
+    response_memory_.release();
     timer_.cancel();
     connect_retry_timer_.cancel();
     error_code ignored;
--- a/src/proxy/upstream_connection.hpp
+++ b/src/proxy/upstream_connection.hpp
@@ -13,6 +13,7 @@
 #include "common/http.hpp"
 #include "ochregrade/balancer.hpp"
 #include "proxy/close_reason.hpp"
+#include "proxy/memory_budget.hpp"
 
 namespace ochregrade::sidecar {
 
@@ -66,12 +67,16 @@
         /// `reusable`: the connection may be used for another exchange.
         virtual void end_exchange(const UpstreamConnectionPtr& connection, Outcome outcome,
                                   HttpResponse* response, bool reusable) = 0;
+        /// The response being read does not fit into the memory for responses now. The owner calls
+        /// resume_reading() when memory has been released.
+        virtual void wait_for_memory(const UpstreamConnectionPtr& connection) = 0;
         /// Closes an idle connection that cannot or should not be reused.
         virtual void close_connection(const UpstreamConnectionPtr& connection, CloseReason reason) = 0;
     };
 
     UpstreamConnection(asio::io_context& io, const Clock& clock, Owner& owner, EndpointId endpoint,
-                       const tcp::endpoint& address, std::shared_ptr<ConnectionGroup> group);
+                       const tcp::endpoint& address, std::shared_ptr<ConnectionGroup> group,
+                       std::shared_ptr<MemoryBudget> response_memory);
 
     EndpointId endpoint() const { return endpoint_; }
     const tcp::endpoint& address() const { return address_; }
@@ -94,6 +99,10 @@
     std::unique_ptr<Exchange> release_exchange();
     void connect();
     void write_request();
+    /// Continues reading the response if there is memory for it now. Has no effect unless it waits for
+    /// memory.
+    void resume_reading();
+    bool waits_for_memory() const { return state_ == State::reading && waits_for_memory_; }
 
     void become_idle();
     /// Closes the connection at `at` (Clock milliseconds) unless it is used before.
@@ -112,6 +121,8 @@
     void on_writable();
     void start_reading_response();
     void parse();
+    void parse_input();
+    bool reserve_response();
     void receive();
     void on_received(error_code ec, std::size_t size);
     void on_response();
@@ -135,6 +146,9 @@
     std::size_t head_bytes_ = 0;
     int interim_responses_ = 0;  // 1xx
     std::optional<ResponseParser> parser_;
+    MemoryReservation response_memory_;
+    bool response_reserved_ = false;  // memory for the whole response, once its head is complete
+    bool waits_for_memory_ = false;
     Millis idle_since_ = 0;
     Millis acknowledged_at_ = 0;
 };
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -36,9 +36,16 @@
 }  // namespace
 
 UpstreamPool::UpstreamPool(asio::io_context& io, const Clock& clock, Limits limits, Handlers handlers)
-    : io_(io), clock_(clock), limits_(limits), handlers_(std::move(handlers)) {}
+    : io_(io),
+      clock_(clock),
+      limits_(limits),
+      handlers_(std::move(handlers)),
+      response_memory_(std::make_shared<MemoryBudget>(limits.response_memory)) {
+    response_memory_->on_release = [this] { on_memory_released(); };
+}
 
 UpstreamPool::~UpstreamPool() {
+    response_memory_->on_release = nullptr;  // client sessions may release memory later
     // Breaks the reference cycle: an idle connection and its group own each other.
     for (const auto& [id, group] : groups_) group->idle.clear();
 }
@@ -161,7 +168,7 @@
     ++group->connections;
     ++open_;
     Connection::Owner& owner = *this;
-    return std::make_shared<Connection>(io_, clock_, owner, endpoint, address, group);
+    return std::make_shared<Connection>(io_, clock_, owner, endpoint, address, group, response_memory_);
 }
 
 // Takes the most recently used connection, so that older ones reach their idle limit and are closed. A
@@ -224,6 +231,32 @@
     if (--group.connections == 0 && at != groups_.end() && connection->is_in(at->second)) groups_.erase(at);
 }
 
+// ---- Memory for responses
+
+void UpstreamPool::wait_for_memory(const ConnectionPtr& connection) {
+    waiting_for_memory_.push_back(connection);
+}
+
+void UpstreamPool::on_memory_released() {
+    if (waiting_for_memory_.empty() || std::exchange(resume_posted_, true)) return;
+    asio::post(io_, [this] { resume_waiting(); });
+}
+
+void UpstreamPool::resume_waiting() {
+    resume_posted_ = false;
+    while (!waiting_for_memory_.empty()) {
+        const ConnectionPtr connection = waiting_for_memory_.front().lock();
+        waiting_for_memory_.pop_front();
+        if (!connection) continue;
+        connection->resume_reading();
+        if (!connection->waits_for_memory()) continue;
+        waiting_for_memory_.pop_back();  // it was added again as the last one
+        return waiting_for_memory_.push_front(connection);
+    }
+}
+
+// ---- Limits
+
 // Closes the connection that has been idle longest, if any is idle.
 void UpstreamPool::evict_idle() {
     ConnectionPtr oldest;
@@ -250,6 +283,8 @@
 
 void UpstreamPool::set_limits(const Limits& limits) {
     limits_ = limits;
+    response_memory_->set_limit(limits.response_memory);
+    on_memory_released();
     for (std::size_t before = open_ + 1; open_ > limits_.connections && open_ < before;) {
         before = open_;
         evict_idle();
--- a/src/proxy/upstream_pool.hpp
+++ b/src/proxy/upstream_pool.hpp
@@ -2,6 +2,7 @@
 // sends the request of each attempt and probe at most once. Each attempt and probe ends with one outcome.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -12,6 +13,7 @@
 #include "common/http.hpp"
 #include "ochregrade/balancer.hpp"
 #include "proxy/close_reason.hpp"
+#include "proxy/memory_budget.hpp"
 #include "proxy/upstream_connection.hpp"
 
 namespace ochregrade::sidecar {
@@ -25,6 +27,7 @@
         std::size_t connections = 400;
         // A connection is not reused within this time after its last response was acknowledged.
         Millis quiet_period = 2;
+        std::size_t response_memory = 16 << 20;  // bytes, for responses until clients have received them
     };
     /// Handlers may be called from within send(), cancel() and other functions of the pool. They record what
     /// happened, may withdraw attempts, and must not start attempts or probes.
@@ -65,6 +68,9 @@
     /// connections are opened.
     void set_limits(const Limits& limits);
 
+    /// The memory for responses. While it is used up, further responses of more than a few KB stay in the
+    /// kernel, and wait in the order in which they began.
+    const std::shared_ptr<MemoryBudget>& response_memory() const { return response_memory_; }
     std::size_t open() const { return open_; }
     std::size_t in_flight() const { return attempts_.size(); }
     /// Whether any attempt of the request is in flight.
@@ -84,7 +90,10 @@
     void end_exchange(const ConnectionPtr& connection, Outcome outcome, HttpResponse* response,
                       bool reusable) override;
     void close_connection(const ConnectionPtr& connection, CloseReason reason) override;
+    void wait_for_memory(const ConnectionPtr& connection) override;
 
+    void on_memory_released();
+    void resume_waiting();
     void start(std::unique_ptr<Exchange> exchange, EndpointId endpoint, const tcp::endpoint& address);
     ConnectionPtr take_idle(EndpointId endpoint, const tcp::endpoint& address);
     ConnectionPtr add_connection(EndpointId endpoint, const tcp::endpoint& address);
@@ -104,6 +113,9 @@
     Handlers handlers_;
     std::map<AttemptKey, ConnectionPtr> attempts_;
     std::unordered_map<EndpointId, GroupPtr> groups_;  // without retired and empty groups
+    std::shared_ptr<MemoryBudget> response_memory_;
+    std::deque<std::weak_ptr<Connection>> waiting_for_memory_;  // the first one is resumed first
+    bool resume_posted_ = false;
     std::size_t open_ = 0;
     CloseCounts closes_{};
 };
--- a/tests/proxy/request_memory_test.cpp
+++ b/tests/proxy/request_memory_test.cpp
@@ -97,6 +97,53 @@
               200u);
 }
 
+// Endpoints' responses on a sidecar that has memory for one large response. The first response stops half
+// way until `release`.
+struct LargeResponses {
+    LargeResponses() : sidecar(a_config(kNoAddress, {host("s1", server.at())})) {
+        sidecar.driver.apply(sidecar.driver.snapshot(), {20000, 15000, 50, 0, 90000});
+        first.wire.write(App::request("deposit"));
+        EXPECT_TRUE(sidecar.until([&] { return server.seen().size() == 1; }));
+        for (int i = 0; i < 40; ++i) sidecar.turn();
+    }
+    std::promise<void> release;
+    std::shared_future<void> released = release.get_future().share();
+    FakeServer server{[&](Wire& wire, const HttpRequest& request, int number) {
+        if (request.method() == http::verb::get) return wire.respond(200, "small"), true;
+        wire.write("HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + std::string(30000, 'x'));
+        if (number == 0) released.wait();
+        return wire.write(std::string(30000, 'x')), true;
+    }};
+    SteppedSidecar sidecar;
+    App first{sidecar.listener.endpoint()};
+};
+
+// Guards against a sidecar that is killed for its memory: any number of responses was read at once.
+TEST(ResponseMemory, IsSharedAndSmallResponsesDoNotWait) {
+    LargeResponses responses;
+    SteppedSidecar& sidecar = responses.sidecar;
+    App second(sidecar.listener.endpoint()), small(sidecar.listener.endpoint());
+    second.wire.write(App::request("deposit"));
+    ASSERT_TRUE(sidecar.until([&] { return responses.server.seen().size() == 2; }));
+    EXPECT_EQ(sidecar.ask(small, App::request("listen")).body(), "small");
+    EXPECT_FALSE(is_readable(second.wire));
+    responses.release.set_value();
+    EXPECT_EQ(sidecar.answer(responses.first).body().size(), 60000u);
+    EXPECT_EQ(sidecar.answer(second).body().size(), 60000u);
+}
+
+// A response that waits for memory ends with its attempt like any other.
+TEST(ResponseMemory, WaitingResponseEndsAtItsDeadline) {
+    LargeResponses responses;
+    SteppedSidecar& sidecar = responses.sidecar;
+    App second(sidecar.listener.endpoint());
+    EXPECT_EQ(sidecar.ask(second, App::request("deposit", "300m")).result_int(), 502u);
+    responses.release.set_value();
+    EXPECT_EQ(sidecar.answer(responses.first).body().size(), 60000u);
+    App third(sidecar.listener.endpoint());
+    EXPECT_EQ(sidecar.ask(third, App::request("deposit")).body().size(), 60000u);
+}
+
 TEST(RequestMemory, CorrelationIdIsBounded) {
     SteppedSidecar sidecar(a_config(kNoAddress, {host("s1", kNoAddress)}));
     App app(sidecar.listener.endpoint());
