--- a/bench/guarantee_rows.py
+++ b/bench/guarantee_rows.py
@@ -245,7 +245,16 @@
     ),
     Guarantee(
         "pipelined bytes count towards the memory limit",
-        [Edit(SESSION_INPUT, "if (!input_memory_.resize(capacity + pipelined_.memory())) return false;", "")],
+        [
+            Edit(
+                SESSION_INPUT, "if (!input_memory_.resize(capacity + pipelined_.memory())) return false;", ""
+            ),
+            Edit(
+                SESSION_INPUT,
+                "if (!input_memory_.resize(input_.capacity() + pipelined_.memory())) return discard_pipelined(0);",
+                "",
+            ),
+        ],
         PROXY_TESTS,
         "PipelinedRequests.ShareMemoryForBodiesAndReleaseIt",
     ),
@@ -266,8 +275,8 @@
         [
             Edit(
                 SESSION,
-                "ReservedRequest{parser_->release(), std::move(request_memory_)}",
-                "ReservedRequest{parser_->release(), MemoryReservation(context_.request_memory, 0)}",
+                "memory(reserved.hand_over()) {}",
+                "memory(reserved.hand_over()) { memory.release(); }",
             )
         ],
         PROXY_TESTS,
--- a/src/proxy/client_session.cpp
+++ b/src/proxy/client_session.cpp
@@ -43,6 +43,8 @@
 /// A request together with the memory reserved for it, which is released with the last reference to it: an
 /// attempt may still be in flight when the client has disconnected.
 struct ReservedRequest {
+    ReservedRequest(HttpRequest request, MemoryReservation& reserved)
+        : message(std::move(request)), memory(reserved.hand_over()) {}
     HttpRequest message;
     MemoryReservation memory;
 };
@@ -227,8 +229,7 @@
     // A chunked request may be smaller than was reserved for it, and its trailers are in memory too.
     if (chunked && !reserve_request(parser_->get().body().size()))
         return reject(http::status::service_unavailable);
-    const auto reserved =
-        std::make_shared<ReservedRequest>(ReservedRequest{parser_->release(), std::move(request_memory_)});
+    const auto reserved = std::make_shared<ReservedRequest>(parser_->release(), request_memory_);
     auto request = std::shared_ptr<HttpRequest>(reserved, &reserved->message);
     parser_.reset();
     if (input_.size() > 0) pipelined_since_ = request_started_at_;  // earliest arrival of the next request
--- a/src/proxy/memory_budget.hpp
+++ b/src/proxy/memory_budget.hpp
@@ -31,12 +31,6 @@
     MemoryReservation(std::shared_ptr<MemoryBudget> budget, std::size_t free_bytes)
         : budget_(std::move(budget)), free_bytes_(free_bytes) {}
     ~MemoryReservation() { release(); }
-    /// The new object takes over what is reserved; `other` keeps its budget and reserves nothing.
-    MemoryReservation(MemoryReservation&& other) noexcept
-        : budget_(other.budget_),
-          free_bytes_(other.free_bytes_),
-          counted_(std::exchange(other.counted_, 0)) {}
-    MemoryReservation& operator=(MemoryReservation&&) = delete;
     MemoryReservation(const MemoryReservation&) = delete;
     MemoryReservation& operator=(const MemoryReservation&) = delete;
 
@@ -52,8 +46,12 @@
     /// Changes the reservation to `bytes` in all, also beyond the budget's limit.
     void take(std::size_t bytes) { set(bytes > free_bytes_ ? bytes - free_bytes_ : 0); }
     void release() { take(0); }
+    /// Returns a reservation that takes over what this one has reserved; this one reserves nothing then.
+    MemoryReservation hand_over() { return {budget_, free_bytes_, std::exchange(counted_, 0)}; }
 
 private:
+    MemoryReservation(std::shared_ptr<MemoryBudget> budget, std::size_t free_bytes, std::size_t counted)
+        : budget_(std::move(budget)), free_bytes_(free_bytes), counted_(counted) {}
     void set(std::size_t counted) {
         const std::size_t before = std::exchange(counted_, counted);
         budget_->reserved_ = budget_->reserved_ - before + counted;
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -249,7 +249,7 @@
 void UpstreamConnection::on_response() {
     // Bytes behind the response belong to no request, so such a connection is not reused.
     const bool reusable = parser_->keep_alive() && input_.size() == 0;
-    const MemoryReservation memory = std::move(response_memory_);  // until the response is passed on
+    const MemoryReservation memory = response_memory_.hand_over();  // until the response is passed on
     HttpResponse response = parser_->release();
     parser_.reset();
     owner_.end_exchange(shared_from_this(), outcome_of(response), &response, reusable);
