--- a/bench/guarantee_rows.py
+++ b/bench/guarantee_rows.py
@@ -266,7 +266,12 @@
     ),
     Guarantee(
         "unfinished heads count towards the memory limit",
-        [Edit(SESSION, "if (!head_checked_ && !reserve_request(0))", "if (false)")],
+        [
+            Edit(SESSION, "if (!head_checked_ && !reserve_request(0))", "if (false)"),
+            Edit(
+                SESSION_INPUT, "if (!input_memory_.resize(capacity + pipelined_.memory())) return false;", ""
+            ),
+        ],
         PROXY_TESTS,
         "RequestMemory.UnfinishedHeadsShareTheMemoryAndSmallRequestsAreServedBeside",
     ),
