The attempts of a departed client's request are looked up once

Need: client_disconnected() had the request and may_have_run() searched for it again; two comments did not say that a request may also be failed for unread bytes.

Change: may_have_run() takes the facts that its caller has; the comments are complete. Behaviour stays as it is.

--- a/src/proxy/balancer_driver.cpp
+++ b/src/proxy/balancer_driver.cpp
@@ -169,7 +169,7 @@
     ++totals_.client_disconnects;
     upstream_.withdraw_request(id);
     const bool repeat_forbidden =
-        request->facts.kind.idempotency != Idempotency::idempotent && may_have_run(id);
+        request->facts.kind.idempotency != Idempotency::idempotent && may_have_run(id, request->facts);
     enqueue(ClientDisconnected{id});
     remove_request_if_done(id);
     return repeat_forbidden;
@@ -177,10 +177,9 @@
 
 // Whether an endpoint may have run the request, or may yet: attempts in flight that were not written
 // completely have been withdrawn.
-bool BalancerDriver::may_have_run(RequestId id) {
-    const std::vector<AttemptFacts>& attempts = find_request(id)->facts.attempts;
+bool BalancerDriver::may_have_run(RequestId id, const RequestFacts& facts) const {
     return upstream_.has_attempts(id) ||
-           std::any_of(attempts.begin(), attempts.end(),
+           std::any_of(facts.attempts.begin(), facts.attempts.end(),
                        [](const AttemptFacts& attempt) { return attempt.may_have_run; });
 }
 
--- a/src/proxy/balancer_driver.hpp
+++ b/src/proxy/balancer_driver.hpp
@@ -68,8 +68,8 @@
     /// Returns whether the request must not be run again: it is not idempotent, and it may have run or may
     /// yet.
     bool client_disconnected(RequestId id);
-    /// Fails a request (502) before its deadline, because the responses to requests pipelined behind it are
-    /// due.
+    /// Fails a request (502) before its deadline, because of what is pipelined behind it: responses to other
+    /// requests are due, or there is so much that a disconnect behind it can't be found.
     void fail_for_pipelined(RequestId id);
 
     /// Applies a list from discovery. `cached`: the list was not received in this run but is in the
@@ -129,7 +129,7 @@
     void probe_ended(EndpointId id, Outcome outcome, Millis duration);
     bool may_write(AttemptKey key, bool partly_written);
     PendingRequest* find_request(RequestId id);
-    bool may_have_run(RequestId id);
+    bool may_have_run(RequestId id, const RequestFacts& facts) const;
     void count_attempt(AttemptKey key, const PendingRequest& request);
     void remove_request_if_done(RequestId id);
     void release_endpoint(EndpointId id);
--- a/src/proxy/pending_request.hpp
+++ b/src/proxy/pending_request.hpp
@@ -19,8 +19,9 @@
     virtual ~Client() = default;
     /// Sends the final response. Called exactly once for each request, unless the client has disconnected.
     virtual void send_response(HttpResponse response) = 0;
-    /// Checks the connection. If the client has disconnected unnoticed, this is reported at once
-    /// (BalancerDriver::client_disconnected).
+    /// Reads what has arrived on the connection. If the client has disconnected unnoticed, this is reported
+    /// at once (BalancerDriver::client_disconnected); if too much has arrived to find out, the request is
+    /// failed.
     virtual void check_disconnected() = 0;
 };
 
